--- a/src/main/kotlin/plankwall/core/Context.kt
+++ b/src/main/kotlin/plankwall/core/Context.kt
@@ -76,6 +76,12 @@
         return left
     }
 
+    /** Takes [n] whatever is left: what has been done anyway is made up for before anything else. */
+    fun spend(n: Int) {
+        available()
+        left -= n
+    }
+
     fun take(n: Int): Boolean {
         if (available() < n) return false
         left -= n
--- a/src/main/kotlin/plankwall/core/Controller.kt
+++ b/src/main/kotlin/plankwall/core/Controller.kt
@@ -3,6 +3,9 @@
 import plankwall.model.Settings
 import plankwall.model.Tuning
 import plankwall.wire.JobCodec
+import plankwall.wire.JobProgress
+import plankwall.wire.PeerStatus
+import plankwall.wire.ProgressNews
 import plankwall.wire.WorkerCodec
 import java.util.Random
 
@@ -15,7 +18,8 @@
     private var reign: Reign? = null
     private val leadership: Leadership = Leadership(ctx, ::begin, ::end)
     private val market = Market(ctx)
-    private val front = FrontDesk(ctx, leadership, market)
+    private val board = ProgressBoard()
+    private val front = FrontDesk(ctx, leadership, market, ::progressOf, board::forget)
     private val strays = HashMap<String, Double>()
     private var nextStatus = 0.0
 
@@ -33,11 +37,16 @@
             is Input.StateReply -> ctx.out.resume(input.call, input.result)
             is Input.CloudReply -> ctx.out.resume(input.call, input.result)
             is Input.WorkerReply -> input.report?.let { reign?.overheard(it) }
-            is Input.PeerHeard -> leadership.notePeer(input.status)
+            is Input.PeerHeard -> when (val message = input.message) {
+                is PeerStatus -> leadership.notePeer(message)
+                is ProgressNews -> board.hear(message, front::isLive)
+            }
         }
         return ctx.out.take()
     }
 
+    private fun progressOf(id: String): JobProgress? = reign?.progressOf(id) ?: board[id]
+
     private fun begin() {
         reign = Reign(ctx, leadership, market).also { it.begin() }
     }
@@ -52,10 +61,12 @@
         leadership.tick()
         market.tick()
         reign?.tick()
+        front.tick()
         if (ctx.now >= nextStatus) {
             nextStatus = ctx.now + 1.0
             strays.values.removeIf { ctx.now - it > 5.0 }
             ctx.out.add(Effect.PeerSend(leadership.status(strays.size)))
+            reign?.news()?.forEach { ctx.out.add(Effect.PeerSend(it)) }
         }
     }
 
--- a/src/main/kotlin/plankwall/core/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/Estimator.kt
@@ -4,7 +4,6 @@
 import plankwall.model.GroupKey
 import plankwall.model.MachineType
 import plankwall.model.Resources
-import plankwall.model.Shape
 
 /**
  * How many machines the waiting tasks need beyond what is still to arrive (the paper's step 7). Waiting tasks are
@@ -21,31 +20,27 @@
      * than on a machine yet to be rented: such room is as good as arriving.
      */
     private inner class Vacating(val machine: Machine, group: GroupKey) : Bin(group, Resources.NONE) {
-        private val ends = machine.placements.values.mapNotNull { p -> endsIn(p)?.let { it to p.job.spec.need } }
+        private val ends = machine.placements.values.mapNotNull { p -> p.endsIn(ctx.now)?.let { it to p.job.spec.need } }
 
         override fun freeFor(job: Job): Resources {
             val type = machine.type ?: return Resources.NONE
-            val newIn = newMachineIn(job, type)
+            // `free` is below zero by what has been promised here so far.
+            val now = machine.free - machine.held + free
             // Estimates are often too low, and smaller tasks take what comes free: a task that needs several to end at
-            // once may be promised such room for ever. One that has waited a while is not put off with it again.
-            if (ctx.time.wallMs - job.submittedMs > newIn * 1000 * TRUST) return machine.free + free
+            // once may be promised such room for ever. One that has waited a while is not put off with it again, and a
+            // gang, which needs it on several machines at once, never.
+            if (ends.isEmpty() || (job.isGang && job.spec.tasks > 1)) return now
+            val newIn = newMachineIn(job, type)
+            if (ctx.time.wallMs - job.submittedMs > newIn * 1000 * TRUST) return now
             val limit = newIn - machine.fetchWait(job.image, job.spec.imageGb, ctx.now)
-            // `free` is below zero by what has been promised here so far.
-            return ends.fold(machine.free + free) { sum, (endIn, need) -> if (endIn < limit) sum + need else sum }
+            var sum = now
+            for ((endIn, need) in ends) if (endIn < limit) sum += need
+            return sum
         }
     }
 
     private fun newMachineIn(job: Job, type: MachineType) = type.bootS + type.fetchS(job.spec.imageGb)
 
-    /** Seconds until a task should end; null if nobody can say. Owners are often wrong by half. */
-    private fun endsIn(p: Placement): Double? {
-        val spec = p.job.spec
-        if (p.stopping != null) return 2.0
-        if (spec.shape == Shape.SERVICE || p.runningSince <= 0.0) return null
-        val ran = ctx.now - p.runningSince
-        return if (ran > spec.estimateS * 1.5) null else maxOf(spec.estimateS - ran, spec.estimateS * 0.25)
-    }
-
     fun estimate(
         running: List<Machine>,
         unplaced: List<Job>,
@@ -60,21 +55,24 @@
         for (m in running) m.group?.let { bins.add(Vacating(m, it)) }
         val wanted = LinkedHashMap<GroupKey, Int>()
         val planned = HashMap<Int, Resources>()
+        val ordered = HashMap<String, Int>()
         var considered = 0
         for (job in unplaced) {
             val zones = ZoneRule(job)
+            val zone = job.gatherZone?.takeIf { z -> catalog.types.any { t -> mayExpand(GroupKey(t.name, z, false)) } }
             var waiting = waitingOf(job)
+            // All tasks of a job ask for the same: a bin that had no room for one has none for the next.
+            var at = 0
             while (waiting-- > 0 && considered++ < MAX_TASKS) {
                 if (!withinLimit(job, planned)) break
-                var bin = bins.firstOrNull { fits(job, it, zones) }
-                if (bin == null) {
-                    val group = cheapest(job, zones, waiting + 1, mayExpand) { z ->
-                        owned(z) + wanted.entries.sumOf { if (it.key.zone == z) it.value else 0 }
-                    } ?: break
-                    bin = Bin(group, catalog[group.type]?.capacity ?: Resources.NONE)
-                    bins.add(bin)
+                while (at < bins.size && !((zone == null || bins[at].group.zone == zone) && fits(job, bins[at], zones))) at++
+                if (at == bins.size) {
+                    val group = cheapest(job, zones, zone, waiting + 1, mayExpand) { z -> owned(z) + (ordered[z] ?: 0) } ?: break
+                    bins.add(Bin(group, catalog[group.type]?.capacity ?: Resources.NONE))
                     wanted.merge(group, 1, Int::plus)
+                    ordered.merge(group.zone, 1, Int::plus)
                 }
+                val bin = bins[at]
                 bin.free -= job.spec.need
                 zones.imagine(bin.group.zone)
                 planned.merge(job.team.value, job.spec.need, Resources::plus)
@@ -112,11 +110,12 @@
     }
 
     private fun fits(job: Job, bin: Bin, zones: ZoneRule): Boolean =
-        job.spec.need.fitsIn(bin.freeFor(job)) && Placer.allowed(job.spec, bin.group) && zones.allows(bin.group.zone)
+        Placer.allowed(job.spec, bin.group) && zones.allows(bin.group.zone) && job.spec.need.fitsIn(bin.freeFor(job))
 
     private fun cheapest(
         job: Job,
         zones: ZoneRule,
+        only: String?,
         waiting: Int,
         mayExpand: (GroupKey) -> Boolean,
         owned: (String) -> Int,
@@ -129,6 +128,7 @@
             // Room beyond the tasks at hand is worth something to later ones, but less.
             val useful = minOf(holds, waiting) + 0.5 * (holds - minOf(holds, waiting))
             for (zone in type.zones) {
+                if (only != null && zone != only) continue
                 for (spot in listOf(true, false)) {
                     val key = GroupKey(type.name, zone, spot)
                     if (spot && type.spotPrice <= 0.0) continue
@@ -149,6 +149,6 @@
     private companion object {
         /** Which part of a new machine's time a task waits for room that should come free. */
         const val TRUST = 0.2
-        const val MAX_TASKS = 2000
+        const val MAX_TASKS = 5000
     }
 }
--- a/src/main/kotlin/plankwall/core/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/FrontDesk.kt
@@ -9,9 +9,9 @@
 import plankwall.wire.FinalRecord
 import plankwall.wire.Guard
 import plankwall.wire.JobCodec
+import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
-import plankwall.wire.PageRecord
 import plankwall.wire.StateCodec
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
@@ -21,10 +21,21 @@
  * Serves users on any node, straight from the state service: every answer rests on what the store says after the
  * request came, final states aside, which never change.
  */
-class FrontDesk(private val ctx: Context, private val leadership: Leadership, private val market: Market) {
+class FrontDesk(
+    private val ctx: Context,
+    private val leadership: Leadership,
+    private val market: Market,
+    private val progress: (String) -> JobProgress?,
+    onOver: (String) -> Unit,
+) {
     private val log = LoggerFactory.getLogger("front")
     private var open = 0
-    private val calls = Budget(ctx.time, ctx.settings.state.rps * 0.55 / ctx.settings.nodes.coerceAtLeast(1) * 2)
+    private val ledger = JobLedger(ctx, onOver)
+
+    /** A node's part of the common rate. The users do not come in equal parts, so it is more than the equal one. */
+    private val calls = Budget(ctx.time, ctx.settings.state.rps * PART_OF_RATE / ctx.settings.nodes * UNEVEN)
+
+    fun isLive(id: String): Boolean = ledger.withdrawn(id) != null
     private val finals = object : LinkedHashMap<String, FinalRecord>(16, 0.75f, true) {
         override fun removeEldestEntry(eldest: Map.Entry<String, FinalRecord>): Boolean = size > MAX_FINALS
     }
@@ -39,6 +50,8 @@
             ctx.out.answer(request, status, body, retryAfterS)
         }
 
+        fun tooMany() = answer(429, JobCodec.error("too many requests"), 1)
+
         fun later(why: String) = answer(503, JobCodec.error(why), 1)
 
         fun accepted(status: Int, view: JobView) = answer(status, JobCodec.accepted(view))
@@ -49,7 +62,8 @@
         open++
         val visit = Visit(request)
         if (open > MAX_OPEN || !calls.take(stateCalls)) {
-            visit.answer(429, JobCodec.error("too many requests"), 1)
+            log.info("request refused: {} open, {} calls of the state service left", open - 1, calls.available().toInt())
+            visit.tooMany()
             return null
         }
         if (!leadership.stateReachable) {
@@ -119,34 +133,46 @@
         return if (team.allows(atOnce)) null else "needs more than the team's limit"
     }
 
+    fun tick() = ledger.tick()
+
     fun show(request: RequestId, id: String) {
         finals[id]?.let {
             ctx.out.answer(request, 200, JobCodec.view(finalView(id, it)))
             return
         }
-        val visit = visit(request, 2) ?: return
-        lookUp(id) { found ->
-            when (found) {
-                is Found.Unreadable -> visit.later("the state service can't be read")
-                is Found.Final -> visit.answer(200, JobCodec.view(finalView(id, found.record)))
-                is Found.Live -> if (found.record.withdrawnMs > 0) visit.answer(200, JobCodec.view(liveView(found))) else counted(visit, found)
-                Found.Absent -> visit.answer(404, JobCodec.error("no such job"))
+        val visit = visit(request, 0) ?: return
+        ledger.whenFresh { fresh ->
+            val withdrawn = ledger.withdrawn(id)
+            when {
+                !fresh -> visit.later("the state service can't be read")
+                withdrawn == null -> showOver(visit, id)
+                withdrawn -> visit.answer(200, JobCodec.view(JobView(id, JobStage.WITHDRAWN, 0, 0)))
+                else -> visit.answer(200, JobCodec.view(progressOf(id)))
             }
         }
     }
 
-    /** Adds the counts, which are for display only: where they can't be read, the state alone must do. */
-    private fun counted(visit: Visit, found: Found.Live) {
-        val id = found.record.spec.id
-        ctx.out.state(StateOp.Range(Keys.pages(id), null, COUNTED_PAGES)) { result ->
-            val pages = (result as? StateResult.Items)?.items.orEmpty().mapNotNull { it.value as? PageRecord }
-            val running = pages.sumOf { it.placements.size }
-            val done = pages.sumOf { it.done.cardinality() }
-            val stage = if (running > 0) JobStage.RUNNING else JobStage.PENDING
-            visit.answer(200, JobCodec.view(JobView(id, stage, done, running)))
+    /** A job that is not live any more, or never was. A job ends in one transaction, so its end can be read by now. */
+    private fun showOver(visit: Visit, id: String) {
+        val known = finals[id]
+        when {
+            known != null -> visit.answer(200, JobCodec.view(finalView(id, known)))
+            !calls.take(1) -> visit.tooMany()
+            else -> readFinal(id) { found ->
+                when (found) {
+                    is Found.Final -> visit.answer(200, JobCodec.view(finalView(id, found.record)))
+                    Found.Absent -> visit.answer(404, JobCodec.error("no such job"))
+                    else -> visit.later("the state service can't be read")
+                }
+            }
         }
     }
 
+    private fun progressOf(id: String): JobView {
+        val p = progress(id) ?: return JobView(id, JobStage.PENDING, 0, 0)
+        return JobView(id, if (p.running > 0) JobStage.RUNNING else JobStage.PENDING, p.done, p.running)
+    }
+
     fun withdraw(request: RequestId, id: String) {
         finals[id]?.let {
             open++
@@ -203,14 +229,16 @@
         when {
             live !is StateResult.Item -> then(Found.Unreadable)
             item != null && record != null -> then(Found.Live(record, item.version))
-            else -> ctx.out.state(StateOp.Get(Keys.final(id))) { final ->
-                val over = (final as? StateResult.Item)?.item?.value as? FinalRecord
-                if (over != null) finals[id] = over
-                then(if (final !is StateResult.Item) Found.Unreadable else if (over != null) Found.Final(over) else Found.Absent)
-            }
+            else -> readFinal(id, then)
         }
     }
 
+    private fun readFinal(id: String, then: (Found) -> Unit) = ctx.out.state(StateOp.Get(Keys.final(id))) { final ->
+        val over = (final as? StateResult.Item)?.item?.value as? FinalRecord
+        if (over != null) finals[id] = over
+        then(if (final !is StateResult.Item) Found.Unreadable else if (over != null) Found.Final(over) else Found.Absent)
+    }
+
     private fun finalView(id: String, f: FinalRecord) = JobView(id, f.stage, f.done, 0)
 
     private fun liveView(found: Found.Live): JobView {
@@ -219,9 +247,10 @@
     }
 
     private companion object {
-        const val MAX_OPEN = 100
+        const val MAX_OPEN = 200
+        const val PART_OF_RATE = 0.3
+        const val UNEVEN = 2.0
         const val MAX_FINALS = 5_000
-        const val COUNTED_PAGES = 50
         const val WITHDRAW_TRIES = 3
     }
 }
--- a/src/main/kotlin/plankwall/core/JobBook.kt
+++ b/src/main/kotlin/plankwall/core/JobBook.kt
@@ -35,6 +35,12 @@
 
     fun used(team: TeamIx): Resources = used[team.value]
 
+    fun withinLimit(team: TeamIx, extra: Resources): Boolean = ctx.settings.teams[team.value].allows(used(team) + extra)
+
+    /** Rises whenever a job comes or goes. */
+    var changes = 0
+        private set
+
     /** Unique for ever without being stored: the epoch is never given twice, nor is a number within it. */
     fun newAttempt(): Long = store.epoch * ATTEMPTS_PER_EPOCH + ++nextAttempt
 
@@ -44,7 +50,7 @@
         if (version > job.version) {
             job.version = version
             if (record.withdrawnMs > 0 && !job.withdrawn) withdraw(job, record.withdrawnMs)
-            dirty.add(job)
+            soil(job)
         }
     }
 
@@ -61,6 +67,7 @@
         val job = Job(JobIx(nextIx++), spec, team, image, record.pageSize, record.submittedMs, ctx.now)
         for (task in 0 until spec.tasks) job.waiting.addLast(task)
         jobs[spec.id] = job
+        changes++
         log.debug("job {} learned: {} of {} tasks, team {}", spec.id, spec.shape, spec.tasks, spec.team)
         return job
     }
@@ -82,7 +89,7 @@
             attach(placement)
             if (job.withdrawn) stop(placement, StopCause.WITHDRAWN, 0.0)
         }
-        if (job.complete) dirty.add(job)
+        if (job.complete) soil(job)
     }
 
     /** Once all pages are restored: what is neither done nor placed waits. */
@@ -102,7 +109,8 @@
         attach(p)
         machine.willFetch(job.image, job.spec.imageGb, ctx.now)
         job.pageOf(task).dirty = true
-        dirty.add(job)
+        job.urgent = true
+        soil(job)
         return p
     }
 
@@ -118,6 +126,7 @@
         p.stopping = cause
         p.graceS = graceS
         p.stopSince = ctx.now
+        p.machine.unsent = true
         log.info("stop {} on {}: {}", p.id, p.machine.id, cause)
         if (!p.commanded) release(p, "never commanded")
     }
@@ -130,15 +139,6 @@
         if (p.job.isGang) p.job.placements.values.toList().forEach { stop(it, cause, grace) } else stop(p, cause, grace)
     }
 
-    /** Takes back a plan of this very step, of which nothing has been sent. */
-    fun unplan(p: Placement) {
-        val job = p.job
-        job.placements.remove(p.task)
-        p.machine.remove(p)
-        used[job.team.value] -= job.spec.need
-        job.waiting.addFirst(p.task)
-    }
-
     /** The task is proven gone (or was never commanded): it frees its room and waits again, unless it is done. */
     fun release(p: Placement, proof: String) {
         val job = p.job
@@ -148,7 +148,7 @@
         used[job.team.value] -= job.spec.need
         job.pageOf(p.task).dirty = true
         if (!job.done[p.task]) job.waiting.addFirst(p.task)
-        dirty.add(job)
+        soil(job)
         log.info("released {} from {}: {}", p.id, p.machine.id, proof)
         // A gang's attempt is spent as soon as one task of it is lost.
         if (job.isGang && !job.done[p.task]) {
@@ -158,7 +158,7 @@
 
     fun complete(job: Job, task: Int) {
         job.markDone(task)
-        dirty.add(job)
+        soil(job)
     }
 
     private fun withdraw(job: Job, atMs: Long) {
@@ -166,21 +166,30 @@
         job.withdrawnMs = atMs
         log.info("job {} withdrawn with {} tasks placed", job.spec.id, job.placements.size)
         job.placements.values.toList().forEach { stop(it, StopCause.WITHDRAWN, 0.0) }
-        dirty.add(job)
+        soil(job)
     }
 
-    /** Writes what the store does not have yet, as far as its rate allows. */
+    private fun soil(job: Job) {
+        if (dirty.add(job)) job.dirtySince = ctx.now
+    }
+
+    /**
+     * Writes what the store does not have yet, as far as its rate allows: first what somebody waits for. That a task
+     * is gone or done can wait a moment, and comes with others of its page then.
+     */
     fun flush() {
         var room = store.room()
         if (room <= 0 || dirty.isEmpty()) return
         val batch = Batch()
-        for (job in dirty.toList()) {
+        val (first, rest) = dirty.partition { it.urgent || endable(it) }
+        for (job in first + rest) {
             if (room <= 0) break
             if (job.version == 0L || job.finishing) continue
             if (endable(job)) {
                 room -= finish(job)
                 continue
             }
+            if (!job.urgent && room < store.scarce && ctx.now < job.dirtySince + COALESCE_S) continue
             for (page in job.pages.values) {
                 if (!page.dirty || page.inFlight) continue
                 if (page.reread) {
@@ -192,7 +201,10 @@
                 room--
                 if (batch.full) batch.send()
             }
-            if (job.pages.values.none { it.dirty }) dirty.remove(job)
+            if (job.pages.values.none { it.dirty }) {
+                dirty.remove(job)
+                job.urgent = false
+            }
         }
         batch.send()
     }
@@ -243,6 +255,7 @@
                 s.placements.forEach {
                     if (!it.stored) {
                         it.stored = true
+                        it.machine.unsent = true
                         log.info("placed {} on {} (stored at {})", it.id, it.machine.id, result.revision)
                     }
                 }
@@ -258,7 +271,7 @@
                 s.page.dirty = true
             }
         }
-        if (s.page.dirty) dirty.add(s.job)
+        if (s.page.dirty) soil(s.job)
     }
 
     private fun reread(job: Job, page: Page) {
@@ -316,6 +329,7 @@
 
     private fun forget(job: Job, stage: JobStage, leftover: List<String>) {
         if (jobs.remove(job.spec.id) == null) return
+        changes++
         dirty.remove(job)
         log.info("job {} {}: {} of {} tasks", job.spec.id, stage, job.doneCount, job.spec.tasks)
         removeLeftovers(leftover)
@@ -331,6 +345,7 @@
     }
 
     companion object {
+        private const val COALESCE_S = 1.0
         const val ATTEMPTS_PER_EPOCH = 10_000_000L
 
         /** How many tasks share a page so that the page surely fits a value. */
--- a/src/main/kotlin/plankwall/core/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/Jobs.kt
@@ -3,8 +3,11 @@
 import plankwall.model.ImageIx
 import plankwall.model.JobIx
 import plankwall.model.JobSpec
+import plankwall.model.Priority
+import plankwall.model.Resources
 import plankwall.model.Shape
 import plankwall.model.TeamIx
+import plankwall.wire.JobProgress
 import plankwall.wire.TaskStage
 import java.util.BitSet
 
@@ -38,6 +41,19 @@
     var ended = false
 
     val id: String get() = "${job.spec.id}/$task#$attempt"
+
+    /** Seconds until the task should end; null if nobody can say. Owners are often wrong by half. */
+    fun endsIn(now: Double): Double? {
+        val spec = job.spec
+        if (stopping != null) return STOP_S
+        if (spec.shape == Shape.SERVICE || runningSince <= 0.0) return null
+        val ran = now - runningSince
+        return if (ran > spec.estimateS * 1.5) null else maxOf(spec.estimateS - ran, spec.estimateS * 0.25)
+    }
+
+    private companion object {
+        const val STOP_S = 2.0
+    }
 }
 
 /** A slice of a job's tasks that is stored under one key. */
@@ -50,6 +66,12 @@
     var reread = false
 }
 
+/**
+ * All that decides whether a task fits somewhere, its job's other tasks aside; the priority because it decides which
+ * reserved room is open to it.
+ */
+data class FitKey(val need: Resources, val types: List<String>?, val zone: String?, val spot: Boolean, val priority: Priority)
+
 class Job(
     val ix: JobIx,
     val spec: JobSpec,
@@ -75,6 +97,10 @@
     /** Tasks neither done nor placed, in the order in which they are to be tried. */
     val waiting = ArrayDeque<Int>()
     var backoffUntil = 0.0
+
+    /** Somebody waits for what is to be written: a task to start, or the user of a withdrawn job. */
+    var urgent = false
+    var dirtySince = 0.0
     val failedOn = HashSet<Int>()
     var failures = 0
 
@@ -83,6 +109,12 @@
 
     val isGang: Boolean get() = spec.shape == Shape.GANG
 
+    val fit = FitKey(spec.need, spec.types, spec.zone, spec.spot, spec.priority)
+
+    /** The zone in which room for a gang is being gathered, and since when. */
+    var gatherZone: String? = null
+    var gatherSince = 0.0
+
     fun pageOf(task: Int): Page = pages.getOrPut(task / pageSize) { Page(task / pageSize) }
 
     fun markDone(task: Int) {
@@ -94,5 +126,8 @@
         pageOf(task).dirty = true
     }
 
+    val progress: JobProgress
+        get() = JobProgress(spec.id, doneCount, placements.values.count { it.runningSince > 0.0 && !it.ended })
+
     val complete: Boolean get() = doneCount == spec.tasks
 }
--- a/src/main/kotlin/plankwall/core/LeaderStore.kt
+++ b/src/main/kotlin/plankwall/core/LeaderStore.kt
@@ -27,12 +27,15 @@
         active = false
     }
 
+    /** Below this [room] only what somebody waits for is written. */
+    val scarce: Int = (ctx.settings.state.writeRps * 0.25).toInt()
+
     /** How many puts and deletes may be sent now. */
     fun room(): Int = if (leadership.mayWrite && calls.available() >= 1) writes.available().toInt() else 0
 
     fun write(guards: List<Guard>, changes: List<Write>, then: (StateResult) -> Unit) {
-        writes.take(changes.size)
-        calls.take(1)
+        writes.spend(changes.size)
+        calls.spend(1)
         ctx.out.state(StateOp.Txn(listOf(leadership.guard()) + guards, changes)) { result ->
             if (!active) return@state
             if (result is StateResult.Conflict && Keys.LEADER in result.failed) {
@@ -45,7 +48,7 @@
     }
 
     fun read(key: String, then: (StateResult) -> Unit) {
-        calls.take(1)
+        calls.spend(1)
         ctx.out.state(StateOp.Get(key)) { if (active) then(it) }
     }
 
--- a/src/main/kotlin/plankwall/core/Machines.kt
+++ b/src/main/kotlin/plankwall/core/Machines.kt
@@ -11,6 +11,10 @@
 class Machine(val ix: MachineIx, val id: String) {
     var group: GroupKey? = null
     var type: MachineType? = null
+        set(value) {
+            field = value
+            free = capacity - used
+        }
     var address: String = ""
 
     /** Newest word: ([session], [seq]). */
@@ -48,35 +52,48 @@
     var used = Resources.NONE
         private set
 
-    /** Images believed cached, least recently used first, with the moment they should be there. */
-    val images = LinkedHashMap<Int, CachedImage>(16, 0.75f, true)
+    /** Images believed cached, least recently used first, with the moment they should be there. Looking is not using. */
+    val images = LinkedHashMap<Int, CachedImage>()
     var fetchBusyUntil = 0.0
     val failedJobs = HashSet<Int>()
     var faulty = false
     var blockedUntil = NEVER
     var lastAnnounced = NEVER
 
+    /** A start or a stop here has not been commanded yet. */
+    var unsent = false
+
     /** The session that a refused direct command named. */
     var announceSession = 0L
 
     /** Room that is being made here by stopping others. */
     val reservations = ArrayList<Reservation>()
 
+    /** Room that the last placing pass kept for gangs that are not complete yet. */
+    var held = Resources.NONE
+
     class Reservation(val job: Job, val until: Double)
 
     class CachedImage(val gb: Double, val readyAt: Double)
 
     val registered: Boolean get() = registeredAt > NEVER
 
-    val free: Resources get() = (type?.capacity ?: Resources.NONE) - used
+    private val capacity: Resources get() = type?.capacity ?: Resources.NONE
+
+    /** Kept rather than computed: a placing pass looks at it for every machine and every task. */
+    var free: Resources = Resources.NONE
+        private set
 
     fun add(p: Placement) {
         placements[key(p)] = p
         used += p.job.spec.need
+        free = capacity - used
     }
 
     fun remove(p: Placement) {
-        if (placements.remove(key(p)) != null) used -= p.job.spec.need
+        if (placements.remove(key(p)) == null) return
+        used -= p.job.spec.need
+        free = capacity - used
     }
 
     fun placement(job: Job, task: Int): Placement? = placements[key(job, task)]
@@ -101,12 +118,13 @@
     private fun fetchS(gb: Double): Double = type?.fetchS(gb) ?: gb
 
     fun willFetch(image: ImageIx, gb: Double, now: Double) {
-        if (images[image.value] != null) return
-        fetchBusyUntil = now + fetchWait(image, gb, now)
-        noteImage(image, gb, fetchBusyUntil)
+        val cached = images[image.value]
+        if (cached == null) fetchBusyUntil = now + fetchWait(image, gb, now)
+        noteImage(image, gb, cached?.readyAt ?: fetchBusyUntil)
     }
 
     fun noteImage(image: ImageIx, gb: Double, readyAt: Double) {
+        images.remove(image.value)
         images[image.value] = CachedImage(gb, readyAt)
         var total = images.values.sumOf { it.gb }
         val cache = type?.cacheGb ?: return
--- a/src/main/kotlin/plankwall/core/Messages.kt
+++ b/src/main/kotlin/plankwall/core/Messages.kt
@@ -3,7 +3,7 @@
 import plankwall.model.JobSpec
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
-import plankwall.wire.PeerStatus
+import plankwall.wire.PeerMessage
 import plankwall.wire.Report
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
@@ -35,7 +35,7 @@
     /** The body of a worker's answer to a direct command; null if there was none that could be read. */
     data class WorkerReply(val machine: String, val report: Report?) : Input
 
-    data class PeerHeard(val status: PeerStatus) : Input
+    data class PeerHeard(val message: PeerMessage) : Input
 }
 
 /** Everything that a controller can do about it. */
@@ -48,5 +48,5 @@
 
     class WorkerPost(val machine: String, val address: String, val body: ByteArray) : Effect
 
-    data class PeerSend(val status: PeerStatus) : Effect
+    data class PeerSend(val message: PeerMessage) : Effect
 }
--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -2,10 +2,12 @@
 
 import org.slf4j.LoggerFactory
 import plankwall.wire.CatalogRecord
+import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
 import plankwall.wire.Order
 import plankwall.wire.PageRecord
+import plankwall.wire.ProgressNews
 import plankwall.wire.Report
 import plankwall.wire.StateItem
 import plankwall.wire.StateResult
@@ -24,6 +26,7 @@
     private val desk = WorkerDesk(ctx, leadership, book, fleet)
     private val placer = Placer(ctx, book, fleet)
     private val rental = RentalLoop(ctx, store, book, fleet, placer, ctx.now)
+    private val teller = ProgressTeller(book)
     private var loaded = false
     private var savingCatalog = false
 
@@ -165,6 +168,11 @@
         }
     }
 
+    /** Null while the book is not read yet, or if it has no such job. */
+    fun progressOf(id: String): JobProgress? = if (loaded) book.find(id)?.progress else null
+
+    fun news(): List<ProgressNews> = if (loaded) teller.news(store.epoch) else emptyList()
+
     fun end() = store.close()
 
     private companion object {
--- a/src/main/kotlin/plankwall/core/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/RentalLoop.kt
@@ -11,6 +11,7 @@
 import plankwall.wire.Keys
 import plankwall.wire.ListedMachine
 import plankwall.wire.ListedState
+import plankwall.wire.StateCodec
 import plankwall.wire.StateItem
 import plankwall.wire.StateResult
 import plankwall.wire.StoredArrival
@@ -43,8 +44,6 @@
     private val rentals = LinkedHashMap<String, Rental>()
     private val arrivals = fleet.arrivals
     private val noCapacityUntil = HashMap<GroupKey, Double>()
-    /** How many arrivals, and how many returns, surely fit the stored value. */
-    private val maxListed = ((ctx.settings.state.valueKb * 1024 * 0.6 / ARRIVAL_BYTES).toInt()).coerceIn(4, 200)
     private var version = 0L
     private var dirty = false
     private var writing = false
@@ -52,11 +51,16 @@
     private var nextRound = 0.0
     private var nextList = 0.0
     private var listing = false
+    private var deleting = false
     private var nextCatalog = 0.0
     private var haltedUntil = 0.0
     private val lastRental = HashMap<GroupKey?, Double>()
     private val pausedUntilHeard = startedAt + ctx.settings.workers.reportS * 3 + 4.0
 
+    init {
+        placer.rentsWhere(::mayExpand)
+    }
+
     fun restore(item: StateItem?) {
         version = item?.version ?: 0L
         val record = item?.value as? FleetRecord ?: return
@@ -103,9 +107,10 @@
         val growth = expectedGrowth()
         val usable = fleet.machines.filter { placer.usable(it) }
         val freeNow = usable.filter { it.group?.spot == false }.fold(Resources.NONE) { sum, m -> sum + m.free }
+        val owned = fleet.machines.filter { !it.returning }.groupingBy { it.group?.zone }.eachCount()
         val wanted = Estimator(ctx, book, catalog).estimate(
             usable, waiting, placer::unreserved, arriving, ::mayExpand, { growth - freeNow - it },
-        ) { zone -> fleet.machines.count { it.group?.zone == zone && !it.returning } }
+        ) { zone -> owned[zone] ?: 0 }
         wanted.forEach { (group, count) -> rent(group, count, waiting.size) }
         returnUnneeded(freeNow - growth)
     }
@@ -131,13 +136,17 @@
         (noCapacityUntil[key] ?: 0.0) <= ctx.now && key.zone !in registry.cutZones && registry.group(key).healthy
 
     private fun rent(group: GroupKey, count: Int, waiting: Int) {
-        if (rentals.size >= MAX_RENTALS) return
-        val n = minOf(count, MAX_PER_RENTAL)
-        val request = "r-${store.epoch}-${++nextRequest}"
-        rentals[request] = Rental(StoredRental(request, group, n))
-        lastRental[group] = ctx.now
-        dirty = true
-        log.info("rent {} of {} as {}: {} jobs wait, {} machines arriving", n, group, request, waiting, arrivals.size)
+        var left = count
+        // Hundreds may be needed at once, and a request may ask for so many only.
+        while (left > 0 && rentals.size < MAX_RENTALS) {
+            val n = minOf(left, MAX_PER_RENTAL)
+            left -= n
+            val request = "r-${store.epoch}-${++nextRequest}"
+            rentals[request] = Rental(StoredRental(request, group, n))
+            lastRental[group] = ctx.now
+            dirty = true
+            log.info("rent {} of {} as {}: {} jobs wait, {} machines arriving", n, group, request, waiting, arrivals.size)
+        }
     }
 
     /** UC5: rented long ago, never heard: returned one by one. */
@@ -192,18 +201,21 @@
 
     private fun returnUnneeded(spare: Resources) {
         var left = spare
+        val wantedImages = book.live.filter { !it.withdrawn }.map { it.image.value }.toSet()
         for (m in fleet.machines) {
-            val idle = m.registered && fleet.isReady(m) && m.placements.isEmpty() && m.strangers == 0 && !m.returning
+            // Room kept for a gang that is not complete yet, or made for a task under way, is needed.
+            val idle = m.registered && fleet.isReady(m) && m.placements.isEmpty() && m.strangers == 0 && !m.returning &&
+                m.held === Resources.NONE && m.reservations.isEmpty()
             if (!idle) m.unneededSince = Machine.NEVER else if (m.unneededSince == Machine.NEVER) m.unneededSince = ctx.now
         }
         fleet.machines
             .filter { m ->
                 val boot = m.type?.bootS ?: DEFAULT_BOOT_S
-                m.unneededSince > Machine.NEVER && ctx.now - m.unneededSince >= orElse(ctx.tuning.unneededS, restoreS(m)) &&
+                m.unneededSince > Machine.NEVER && ctx.now - m.unneededSince >= orElse(ctx.tuning.unneededS, restoreS(m, wantedImages)) &&
                     // What is rented in one group says nothing of another, whose machines the waiting tasks may not use.
                     ctx.now - (lastRental[m.group] ?: Machine.NEVER) >= orElse(ctx.tuning.afterRentalS, boot)
             }
-            .take(MAX_RETURNS_PER_ROUND)
+            .take(maxOf(MIN_RETURNS_PER_ROUND, fleet.machines.size / 50))
             .forEach {
                 // Spot machines are not for any work, so they are not counted on for what may come.
                 val room = it.type?.capacity ?: Resources.NONE
@@ -216,9 +228,8 @@
     }
 
     /** What it takes to get a machine back to where this one is: a boot, and the fetch of an image that is in use. */
-    private fun restoreS(m: Machine): Double {
+    private fun restoreS(m: Machine, wanted: Set<Int>): Double {
         val type = m.type ?: return DEFAULT_BOOT_S
-        val wanted = book.live.filter { !it.withdrawn }.map { it.image.value }.toSet()
         val gb = m.images.filterKeys { it in wanted }.values.maxOfOrNull { it.gb } ?: 0.0
         return type.bootS + type.fetchS(gb)
     }
@@ -234,14 +245,26 @@
         m.placements.values.toList().forEach { book.stopWithSave(it, StopCause.DRAINED) }
     }
 
+    /** The record as far as it fits a stored value: what is left out follows once there is room again. */
+    private fun record(): FleetRecord {
+        val limit = ctx.settings.state.valueKb * 1024
+        val returning = fleet.machines.filter { it.returning }.map { it.id }
+        var part = 1.0
+        while (true) {
+            val record = FleetRecord(
+                rentals.values.map { it.stored },
+                arrivals.values.toList().takeLast((arrivals.size * part).toInt()).map { StoredArrival(it.machine, it.group, it.rentedMs) },
+                returning.take((returning.size * part).toInt()),
+            )
+            if (part < 0.01 || StateCodec.sizeOf(record) <= limit) return record
+            log.warn("the fleet's record outgrows a stored value: of {} arrivals and {} returns some wait", arrivals.size, returning.size)
+            part *= 0.7
+        }
+    }
+
     private fun save() {
         if (!dirty || writing || store.room() < 1) return
-        val returning = fleet.machines.filter { it.returning }
-        val record = FleetRecord(
-            rentals.values.map { it.stored },
-            arrivals.values.toList().takeLast(maxListed).map { StoredArrival(it.machine, it.group, it.rentedMs) },
-            returning.take(maxListed).map { it.id },
-        )
+        val record = record()
         val stored = rentals.values.toList()
         dirty = false
         writing = true
@@ -251,7 +274,7 @@
                 is StateResult.Committed -> {
                     version = result.revision
                     stored.forEach { it.mayBeSent = true }
-                    returning.take(maxListed).forEach { it.returnStored = true }
+                    record.returning.forEach { fleet.find(it)?.returnStored = true }
                 }
                 is StateResult.Conflict -> reread()
                 else -> dirty = true
@@ -310,9 +333,12 @@
             m.returning && m.returnStored && !m.deleting &&
                 (m.placements.isEmpty() || !fleet.isReady(m) || m.placements.values.all { ctx.now - it.stopSince > DRAIN_S })
         }.take(MAX_PER_DELETE)
-        if (due.isEmpty()) return
+        // One call at a time, so that those due meanwhile go together: the cloud takes few calls.
+        if (due.isEmpty() || deleting) return
+        deleting = true
         due.forEach { it.deleting = true }
         ctx.out.cloud(CloudOp.Delete(due.map { it.id })) { result ->
+            deleting = false
             if (!store.active) return@cloud
             due.forEach { it.deleting = false }
             if (result == CloudResult.Deleted) due.forEach { deleted(it) }
@@ -393,9 +419,8 @@
         const val DRAIN_S = 15.0
         const val MAX_RENTALS = 20
         const val MAX_PER_RENTAL = 50
-        const val MAX_PER_DELETE = 50
-        const val ARRIVAL_BYTES = 70.0
-        const val MAX_RETURNS_PER_ROUND = 4
+        const val MAX_PER_DELETE = 100
+        const val MIN_RETURNS_PER_ROUND = 4
         const val WITHDRAWN_PATIENCE = 0.35
     }
 }
--- /dev/null
+++ b/src/main/kotlin/plankwall/core/Room.kt
@@ -0,0 +1,74 @@
+package plankwall.core
+
+import plankwall.model.Resources
+
+/** What room there is, whose it is, and which of it suits a task best. */
+class Room(private val ctx: Context, private val book: JobBook, private val fleet: Fleet) {
+    private val reserved = HashMap<Job, Int>()
+
+    /** Reservations end when their job needs them no more, or when the room did not come in time. */
+    fun beginPass() {
+        reserved.clear()
+        for (m in fleet.machines) {
+            if (m.held !== Resources.NONE) m.held = Resources.NONE
+            if (m.reservations.isEmpty()) continue
+            m.reservations.removeIf { r ->
+                val over = ctx.now >= r.until || r.job.withdrawn || reserved(r.job) >= r.job.waiting.size
+                if (!over) reserved.merge(r.job, 1, Int::plus)
+                over
+            }
+        }
+    }
+
+    fun reserved(job: Job): Int = reserved[job] ?: 0
+
+    fun reserve(job: Job, m: Machine, untilS: Double) {
+        m.reservations.add(Machine.Reservation(job, untilS))
+        reserved.merge(job, 1, Int::plus)
+    }
+
+    /**
+     * What tasks of [job] may take here. Room that was made for another job of no lower standing is not its own, nor is
+     * what this pass has kept for a gang, whose standing is higher since it came first.
+     */
+    fun openTo(job: Job, m: Machine): Resources {
+        if (m.reservations.isEmpty() && m.held === Resources.NONE) return m.free
+        var room = m.free - m.held
+        for (r in m.reservations) if (r.job !== job && r.job.spec.priority >= job.spec.priority) room -= r.job.spec.need
+        return room
+    }
+
+    fun suits(job: Job, m: Machine, zones: ZoneRule): Boolean =
+        Placer.allowed(job.spec, m) && zones.allows(m) && m.ix.value !in job.failedOn
+
+    fun best(job: Job, candidates: List<Machine>, zones: ZoneRule): Machine? {
+        var found: Machine? = null
+        var lowest = Double.MAX_VALUE
+        for (m in candidates) {
+            if (!job.spec.need.fitsIn(m.free) || !suits(job, m, zones) || !job.spec.need.fitsIn(openTo(job, m))) continue
+            val score = score(job, m)
+            if (score < lowest) {
+                lowest = score
+                found = m
+            }
+        }
+        return found
+    }
+
+    /** Lower is better: seconds until the image is there, then tight fit, then cheap machines for those who may. */
+    fun score(job: Job, m: Machine): Double {
+        val type = m.type ?: return Double.MAX_VALUE
+        val after = m.free - job.spec.need
+        val idle = share(after.gpus, type.capacity.gpus) + share(after.cpus, type.capacity.cpus)
+        val kind = if (job.spec.spot && m.group?.spot == false) SPOT_PREFERENCE_S else 0.0
+        val wait = m.fetchWait(job.image, job.spec.imageGb, ctx.now)
+        return wait + m.fetchDelay(job.image, job.spec.imageGb, ctx.now) + idle * FIT_S + kind
+    }
+
+    private fun share(part: Long, whole: Long): Double = if (whole <= 0) 0.0 else part.toDouble() / whole
+
+    private companion object {
+        const val FIT_S = 4.0
+        const val SPOT_PREFERENCE_S = 3.0
+    }
+}
--- a/src/main/kotlin/plankwall/core/WorkerDesk.kt
+++ b/src/main/kotlin/plankwall/core/WorkerDesk.kt
@@ -69,12 +69,13 @@
      * in within half a second and gets its `run` with the answer. Null if there is nothing of the kind.
      */
     fun urgent(m: Machine): List<Order>? {
-        if (!m.registered || m.address.isEmpty() || m.deleting) return null
+        if (!m.unsent || !m.registered || m.address.isEmpty() || m.deleting) return null
         val stops = m.placements.values.filter { it.stopping != null && it.commanded && !it.stopPosted && !it.ended }
         stops.forEach { it.stopPosted = true }
         val waits = m.placements.values.any { it.stored && !it.commanded && it.stopping == null && it.session == m.session }
         val poke = waits && ctx.now - m.lastPoked > ctx.settings.workers.leaseS * 0.55
         if (poke) m.lastPoked = ctx.now
+        m.unsent = waits && !poke
         if (stops.isEmpty() && !poke) return null
         return stops.map { Order(OrderOp.STOP, it.job.spec.id, it.task, it.attempt, it.graceS) }
     }
--- a/src/main/kotlin/plankwall/core/ZoneRule.kt
+++ b/src/main/kotlin/plankwall/core/ZoneRule.kt
@@ -17,6 +17,9 @@
         }
     }
 
+    /** Whether anything can be ruled out by zone. */
+    val binding: Boolean get() = unknown || job.spec.spread || (job.spec.oneZone && perZone.isNotEmpty())
+
     fun allows(m: Machine): Boolean {
         val zone = m.group?.zone ?: return false
         return allows(zone)
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import org.slf4j.LoggerFactory
 import plankwall.core.Controller
 import plankwall.core.Effect
@@ -33,10 +35,13 @@
     private val answers = HashMap<RequestId, CompletableDeferred<HttpReply>>()
     private var nextRequest = 1L
     private var workerPosts = 0
+    private val postSlots = Semaphore(MAX_WORKER_POSTS)
     private val peers = PeerLinks(scope, selector, settings.peers) { feed(Input.PeerHeard(it)) }
 
     suspend fun run() {
-        val connections = (settings.maxConnections * 0.7).toInt()
+        // Every worker of the site keeps a connection to the leader: whatever this node does not need itself is theirs.
+        val own = OWN_CONNECTIONS + PER_PEER * settings.peers.size
+        val connections = maxOf(settings.maxConnections - own, settings.maxConnections / 2)
         HttpServer(scope, selector, connections, ::handle).start(settings.front)
         peers.listen(settings.internal)
         log.info("{} serves on {}, peers on {}", settings.node, settings.front, settings.internal)
@@ -61,17 +66,31 @@
             is Effect.Answer -> answers.remove(effect.request)?.complete(HttpReply(effect.status, effect.body, effect.retryAfterS))
             is Effect.StateCall -> scope.launch { feed(Input.StateReply(effect.call, state.run(effect.op))) }
             is Effect.CloudCall -> scope.launch { feed(Input.CloudReply(effect.call, cloud.run(effect.op))) }
-            is Effect.WorkerPost -> if (workerPosts < MAX_WORKER_POSTS) scope.launch { post(effect) }
-            is Effect.PeerSend -> peers.send(effect.status)
+            is Effect.WorkerPost -> queue(effect)
+            is Effect.PeerSend -> peers.send(effect.message)
+        }
+    }
+
+    /** Direct commands only hasten what the next check-in brings anyway: those beyond the bound are let go. */
+    private fun queue(effect: Effect.WorkerPost) {
+        if (workerPosts >= MAX_QUEUED_POSTS) {
+            log.info("direct commands to {} shed: {} wait for a connection", effect.machine, workerPosts)
+            return
+        }
+        workerPosts++
+        scope.launch {
+            try {
+                postSlots.withPermit { post(effect) }
+            } finally {
+                workerPosts--
+            }
         }
     }
 
     private suspend fun post(effect: Effect.WorkerPost) {
         val address = Address.parse(effect.address) ?: return
-        workerPosts++
         val client = HttpClient(selector, address, maxConnections = 1, maxWaiting = 1, keepAlive = false)
         val outcome = client.call("POST", "/commands", effect.body, WORKER_MS)
-        workerPosts--
         log.debug("commands to {}: {}", effect.machine, describe(outcome))
         if (outcome !is Outcome.Answered || (outcome.status != 200 && outcome.status != 409)) return
         val report = try {
@@ -137,6 +156,11 @@
         const val TICK_MS = 100L
         const val MAX_OPEN = 400
         const val MAX_WORKER_POSTS = 40
+        const val MAX_QUEUED_POSTS = 400
+
+        /** What this node opens itself: calls of the state service, the cloud and workers, links to and from peers. */
+        const val OWN_CONNECTIONS = 70
+        const val PER_PEER = 6
         const val WORKER_MS = 3_000L
         const val JOB_PATH = "/api/jobs/"
         const val WITHDRAW = "/withdraw"
--- a/src/main/kotlin/plankwall/io/PeerLinks.kt
+++ b/src/main/kotlin/plankwall/io/PeerLinks.kt
@@ -21,26 +21,26 @@
 import plankwall.model.Address
 import plankwall.model.Peer
 import plankwall.wire.PeerCodec
-import plankwall.wire.PeerStatus
+import plankwall.wire.PeerMessage
 
-/** One connection to every other controller, carrying length-prefixed frames. Only the newest status waits to be sent. */
+/** One connection to every other controller, carrying length-prefixed frames. Only the newest few frames wait to be sent. */
 class PeerLinks(
     private val scope: CoroutineScope,
     private val selector: SelectorManager,
     peers: List<Peer>,
-    private val heard: (PeerStatus) -> Unit,
+    private val heard: (PeerMessage) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("peers")
     private val maxIncoming = peers.size * 4 + 4
     private var incoming = 0
     private val outgoing = peers.map { peer ->
-        val queue = Channel<ByteArray>(1, BufferOverflow.DROP_OLDEST)
+        val queue = Channel<ByteArray>(QUEUE, BufferOverflow.DROP_OLDEST)
         scope.launch { deliver(peer, queue) }
         queue
     }
 
-    fun send(status: PeerStatus) {
-        val frame = PeerCodec.write(status)
+    fun send(message: PeerMessage) {
+        val frame = PeerCodec.write(message)
         outgoing.forEach { it.trySend(frame) }
     }
 
@@ -90,6 +90,7 @@
     }
 
     private companion object {
+        const val QUEUE = 8
         const val IO_MS = 2_000L
         const val RETRY_MS = 700L
         const val SILENT_MS = 10_000L
--- a/src/main/kotlin/plankwall/io/StateClient.kt
+++ b/src/main/kotlin/plankwall/io/StateClient.kt
@@ -34,6 +34,7 @@
         is StateOp.Grant -> calls.call("POST", "/grants", StateCodec.grant(op.ttlMs), CALL_MS)
         is StateOp.Renew -> calls.call("POST", "/grants/${op.lease}/touch", NO_BODY, CALL_MS)
         is StateOp.Drop -> calls.call("DELETE", "/grants/${op.lease}", null, CALL_MS)
+        is StateOp.Changes -> calls.call("GET", "/changes?prefix=${op.prefix}&from=${op.after}&block_ms=0", null, CALL_MS)
         is StateOp.Watch -> watches.call(
             "GET", "/changes?prefix=${op.prefix}&from=${op.after}&block_ms=${op.waitMs}", null, op.waitMs + 4_000,
         )
@@ -62,7 +63,7 @@
         is StateOp.Txn -> StateCodec.committed(body)
         is StateOp.Grant -> StateCodec.granted(body)
         is StateOp.Renew, is StateOp.Drop -> StateResult.Renewed
-        is StateOp.Watch -> StateCodec.news(body)
+        is StateOp.Changes, is StateOp.Watch -> StateCodec.news(body)
     }
 
     private fun name(op: StateOp): String = when (op) {
--- a/src/main/kotlin/plankwall/model/Resources.kt
+++ b/src/main/kotlin/plankwall/model/Resources.kt
@@ -16,6 +16,8 @@
 
     fun fitsIn(o: Resources): Boolean = cpus <= o.cpus && gpus <= o.gpus && memory <= o.memory
 
+    fun least(o: Resources) = Resources(minOf(cpus, o.cpus), minOf(gpus, o.gpus), minOf(memory, o.memory))
+
     /** How many of [need] fit side by side. */
     fun holds(need: Resources): Int {
         fun part(have: Long, want: Long) = if (want <= 0) Long.MAX_VALUE else have / want
--- a/src/main/kotlin/plankwall/wire/Records.kt
+++ b/src/main/kotlin/plankwall/wire/Records.kt
@@ -111,19 +111,24 @@
                 }
             }
             arr("arrivals") {
-                record.arrivals.forEach {
+                record.arrivals.groupBy { it.group to it.rentedMs }.forEach { (rental, arrivals) ->
                     writeStartArray()
-                    writeString(it.machine)
-                    group(it.group)
-                    writeNumber(it.rentedMs)
+                    group(rental.first)
+                    writeNumber(rental.second)
+                    names(arrivals.map { it.machine })
                     writeEndArray()
                 }
             }
-            arr("returning") { record.returning.forEach { writeString(it) } }
+            arr("returning") { names(record.returning.sorted()) }
         }
         is CatalogRecord -> CloudCodec.writeCatalog(g, record.catalog)
     }
 
+    private fun JsonGenerator.names(names: List<String>) = NameRuns.write(names) { first, following ->
+        writeString(first)
+        writeNumber(following)
+    }
+
     private fun JsonGenerator.group(key: GroupKey) {
         writeString(key.type)
         writeString(key.zone)
@@ -208,6 +213,12 @@
         return FinalRecord(stage, done)
     }
 
+    private fun JsonParser.run(name: String): List<String> {
+        val first = text(name)
+        nextToken()
+        return NameRuns.read(first, intValue)
+    }
+
     private fun JsonParser.nextGroup(): GroupKey {
         nextToken()
         val type = text("type")
@@ -232,14 +243,12 @@
                     nextToken()
                 }
                 "arrivals" -> elements {
-                    nextToken()
-                    val machine = text(name)
                     val group = nextGroup()
                     nextToken()
-                    arrivals.add(StoredArrival(machine, group, longValue))
-                    nextToken()
+                    val rentedMs = longValue
+                    while (nextToken() != JsonToken.END_ARRAY) run(name).forEach { arrivals.add(StoredArrival(it, group, rentedMs)) }
                 }
-                "returning" -> elements { if (currentToken() == JsonToken.VALUE_STRING) returning.add(text) }
+                "returning" -> elements { returning.addAll(run(name)) }
             }
         }
         return FleetRecord(rentals, arrivals, returning)
--- a/src/main/kotlin/plankwall/wire/StateCodec.kt
+++ b/src/main/kotlin/plankwall/wire/StateCodec.kt
@@ -25,6 +25,9 @@
 
     data class Drop(val lease: Long) : StateOp
 
+    /** What has changed so far, without waiting. */
+    data class Changes(val prefix: String, val after: Long) : StateOp
+
     data class Watch(val prefix: String, val after: Long, val waitMs: Long) : StateOp
 }
 
--- /dev/null
+++ b/src/test/kotlin/plankwall/LargeSiteTest.kt
@@ -0,0 +1,50 @@
+package plankwall
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import plankwall.model.Priority
+import plankwall.model.Shape
+import plankwall.sim.World
+
+/** Hundreds of machines, and work that needs many of them at once. */
+class LargeSiteTest {
+    @Test
+    fun `rents hundreds of machines in few calls and stays within the state service's rates`() {
+        val world = World(21)
+        world.cloud.capacity = 1000
+        for (n in 1..60) world.clock.after(2.0 + n * 0.02) { world.submit(World.job(n, tasks = 25, runS = 60.0)) }
+        world.clock.runUntil(25.0)
+        assertTrue(world.cloud.rentals in 375..390, "${world.cloud.rentals} machines for 1500 tasks, four on each")
+        world.clock.after(5.0) { world.nodes.first { it.leading }.crash(8.0) }
+        world.clock.runUntil(150.0)
+        assertEquals(emptyList<String>(), world.checker.broken)
+        assertEquals(1500, world.checker.starts)
+        assertEquals("done", world.stageOf("job-000060"))
+        assertTrue(world.state.busiestWrites.most <= world.settings.state.writeRps, "${world.state.busiestWrites.most} writes")
+        assertTrue(world.state.busiestCalls.most <= world.settings.state.rps, "${world.state.busiestCalls.most} calls")
+    }
+
+    @Test
+    fun `a gang of whole machines starts amid small tasks that would take every machine piece by piece`() {
+        val world = World(22)
+        world.cloud.capacity = 4
+        // Small tasks of various lengths keep the four machines, all there is, half used for ever.
+        for (n in 10..70) world.clock.after(1.0 + 1.6 * (n - 10)) { world.submit(World.job(n, tasks = 1, runS = 20.0 + n % 7).copy(zone = "a")) }
+        world.clock.after(60.0) { world.submit(World.job(1, Shape.GANG, tasks = 3, gpus = 4, oneZone = true, runS = 10.0, priority = Priority.NORMAL)) }
+        world.clock.runUntil(125.0)
+        assertEquals("done", world.stageOf("job-000001"))
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+
+    @Test
+    fun `more important gangs get room by preemption`() {
+        val world = World(23)
+        world.cloud.capacity = 4
+        world.clock.after(1.0) { world.submit(World.job(2, tasks = 16, runS = 500.0, priority = Priority.LOW).copy(zone = "a")) }
+        world.clock.after(60.0) { world.submit(World.job(1, Shape.GANG, tasks = 2, gpus = 4, oneZone = true, runS = 10.0, priority = Priority.HIGH)) }
+        world.clock.runUntil(90.0)
+        assertEquals("done", world.stageOf("job-000001"))
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+}
--- a/src/test/kotlin/plankwall/WireTest.kt
+++ b/src/test/kotlin/plankwall/WireTest.kt
@@ -7,20 +7,26 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import plankwall.core.JobBook
+import plankwall.model.GroupKey
 import plankwall.model.Priority
 import plankwall.model.Resources
 import plankwall.model.Shape
 import plankwall.wire.BadMessage
+import plankwall.wire.FleetRecord
 import plankwall.wire.JobCodec
+import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
 import plankwall.wire.PageRecord
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
+import plankwall.wire.ProgressNews
 import plankwall.wire.StateCodec
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
+import plankwall.wire.StoredArrival
 import plankwall.wire.StoredPlacement
+import plankwall.wire.StoredRental
 import plankwall.wire.WorkerCodec
 import plankwall.wire.Write
 import java.util.BitSet
@@ -90,10 +96,34 @@
     }
 
     @Test
-    fun `peer frames are read back, short ones refused`() {
-        val status = PeerStatus("berth-1", 5, 7, true, 3, false, 4)
-        val frame = PeerCodec.write(status)
-        assertEquals(status, PeerCodec.read(frame))
+    fun `hundreds of arriving and returning machines fit a small stored value and are read back`() {
+        // At 70 bytes a name only a part was stored, and a successor took the rest for machines that nobody rented.
+        val group = GroupKey("kiln-small", "vadodara-floor", false)
+        val arrivals = (0 until 800).map { StoredArrival("i-%06d".format(it + it / 50), group, 1_700_000_000_000 + it / 50) }
+        val returning = (0 until 200).map { "i-%06d".format(2000 + it * 3) }
+        val record = FleetRecord(listOf(StoredRental("r-7-1", group, 50)), arrivals, returning)
+        assertTrue(StateCodec.sizeOf(record) < 8 * 1024, "${StateCodec.sizeOf(record)} bytes")
+        val data = StateCodec.txn(StateOp.Txn(emptyList(), listOf(Write.Put(Keys.FLEET, record)))).decodeToString()
+            .substringAfter("\"data\":").removeSuffix("}]}")
+        val item = StateCodec.item("""{"key":"fleet","data":$data,"stamp":7}""".encodeToByteArray()) as StateResult.Item
+        assertEquals(record, item.item?.value)
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["[\"i-1\",-1]", "[\"i-1\",900000000]", "[3,1]"])
+    fun `a run of names that nobody can have written is refused`(run: String) {
+        assertThrows(BadMessage::class.java) {
+            StateCodec.item("""{"key":"fleet","data":{"returning":$run},"stamp":7}""".encodeToByteArray())
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [0, 1])
+    fun `peer frames are read back, short ones refused`(kind: Int) {
+        val message = if (kind == 0) PeerStatus("berth-1", 5, 7, true, 3, false, 4)
+        else ProgressNews(9, listOf(JobProgress("job-000001", 3, 4), JobProgress("job-000002", 0, 120)))
+        val frame = PeerCodec.write(message)
+        assertEquals(message, PeerCodec.read(frame))
         for (n in frame.indices) assertThrows(BadMessage::class.java) { PeerCodec.read(frame.copyOf(n)) }
     }
 }
--- a/src/test/kotlin/plankwall/sim/SimCloud.kt
+++ b/src/test/kotlin/plankwall/sim/SimCloud.kt
@@ -67,9 +67,9 @@
     private fun rent(op: CloudOp.Rent): CloudResult {
         requests[op.request]?.let { return CloudResult.Rented(it) }
         if (machines.size >= capacity) return CloudResult.NoCapacity
-        val names = List(op.count) { "i-%06d".format(next++) }
+        val names = List(minOf(op.count, capacity - machines.size)) { "i-%06d".format(next++) }
         requests[op.request] = names
-        rentals += op.count
+        rentals += names.size
         names.forEach { id ->
             val rented = Rented(id, op.group, clock.now)
             machines[id] = rented
--- a/src/test/kotlin/plankwall/sim/SimState.kt
+++ b/src/test/kotlin/plankwall/sim/SimState.kt
@@ -30,6 +30,24 @@
 
     val keys: Set<String> get() = entries.keys
 
+    /** The most requests, and the most puts and deletes, that came within any second. */
+    val busiestCalls = Busiest()
+    val busiestWrites = Busiest()
+
+    class Busiest {
+        private var second = -1L
+        private var count = 0
+        var most = 0
+            private set
+
+        fun note(now: Double, n: Int) {
+            if (now.toLong() != second) count = 0
+            second = now.toLong()
+            count += n
+            most = maxOf(most, count)
+        }
+    }
+
     init {
         clock.every(0.05) { expire() }
     }
@@ -53,6 +71,8 @@
     }
 
     fun run(op: StateOp, answer: (StateResult) -> Unit) {
+        busiestCalls.note(clock.now, 1)
+        if (op is StateOp.Txn) busiestWrites.note(clock.now, op.writes.size)
         if (op is StateOp.Watch) watch(op, answer) else answer(if (outage) StateResult.Refused else apply(op))
     }
 
@@ -78,6 +98,7 @@
             drop(op.lease)
             StateResult.Renewed
         }
+        is StateOp.Changes -> StateResult.News(changes(op.prefix, op.after), revision)
         is StateOp.Watch -> error("watches are handled apart")
     }
 
@@ -110,10 +131,11 @@
         if (!w.open) return
         w.open = false
         watchers.remove(w)
-        val events = history.filter { it.version > w.op.after && it.key.startsWith(w.op.prefix) }
-        w.answer(StateResult.News(events, revision))
+        w.answer(StateResult.News(changes(w.op.prefix, w.op.after), revision))
     }
 
+    private fun changes(prefix: String, after: Long) = history.filter { it.version > after && it.key.startsWith(prefix) }
+
     private fun wake() {
         if (outage) return
         watchers.filter { w -> history.any { it.version > w.op.after && it.key.startsWith(w.op.prefix) } }
--- a/src/test/kotlin/plankwall/sim/World.kt
+++ b/src/test/kotlin/plankwall/sim/World.kt
@@ -106,7 +106,7 @@
                     if (answer != null) later(mine, 0.01) { Input.WorkerReply(e.machine, answer.second) }
                 }
                 is Effect.PeerSend -> if ("$name-peers" !in cuts) nodes.filter { it !== this && "${it.name}-peers" !in cuts }.forEach { peer ->
-                    clock.after(0.005) { peer.feed(Input.PeerHeard(e.status)) }
+                    clock.after(0.005) { peer.feed(Input.PeerHeard(e.message)) }
                 }
             }
         }
