Gang tasks that waited in vain for their mates start again, not the whole gang

Preemption weighed one task of a gang, not the gang. Ruled out: machines never coming (10 of 363), state service (no call refused), processor (3 to 8% of a core).

--- a/src/main/kotlin/plankwall/core/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/Preemptor.kt
@@ -92,8 +92,11 @@
         return found
     }
 
-    /** Seconds of work that stopping [p] would throw away, and a little for the trouble of starting it again. */
-    private fun lossOf(p: Placement): Double {
+    /** Seconds of work that stopping [p] would throw away; a gang goes with all its tasks. */
+    private fun lossOf(p: Placement): Double = lossOfOne(p) * if (p.job.isGang) p.job.placements.size else 1
+
+    /** What is not saved, and a little for the trouble of starting again. */
+    private fun lossOfOne(p: Placement): Double {
         if (p.runningSince <= 0.0) return RESTART_COST_S
         val ran = ctx.now - p.runningSince
         return RESTART_COST_S + if (p.job.spec.checkpointS > 0) minOf(ran, p.job.spec.saveS) else ran
--- a/src/main/kotlin/plankwall/core/WorkerDesk.kt
+++ b/src/main/kotlin/plankwall/core/WorkerDesk.kt
@@ -105,7 +105,11 @@
             reported.add(p)
             p.seen = true
             p.commanded = true
-            if (t.stage == TaskStage.EXITED) exited(p, t) else progressed(m, p, t)
+            when {
+                t.stage != TaskStage.EXITED -> progressed(m, p, t)
+                waitsOn(p, t) -> tryAgain(p, orders, overtaken)
+                else -> exited(p, t)
+            }
             return
         }
         if (t.stage != TaskStage.EXITED) {
@@ -133,6 +137,23 @@
         p.stage = t.stage
     }
 
+    /**
+     * A gang task whose mates took longer over their images than it may wait. The others still wait or fetch, and the
+     * same attempt, started here again, completes the gang; giving it up would throw away every fetch under way.
+     */
+    private fun waitsOn(p: Placement, t: TaskReport): Boolean = t.cause == ExitCause.ALONE && p.stopping == null && !p.ended &&
+        !p.machine.returning && p.machine.noticeAt == Machine.NEVER && !p.job.withdrawn &&
+        p.job.placements.size == p.job.spec.tasks - p.job.doneCount && p.job.placements.values.none { it.stopping != null }
+
+    private fun tryAgain(p: Placement, orders: ArrayList<Order>, overtaken: Boolean) {
+        // Only a check-in's answer is never executed late, and only its newest word shows that the exit still stands.
+        if (overtaken) return
+        log.info("start {} on {} again: its gang was not complete in time", p.id, p.machine.id)
+        orders.add(Order(OrderOp.FORGET, p.job.spec.id, p.task, p.attempt))
+        p.seen = false
+        p.stage = null
+    }
+
     private fun exited(p: Placement, t: TaskReport) {
         if (p.ended) return
         p.ended = true
