Let the emptiest machines run empty; expect by the middle bucket of arrivals

Tried: the machines that the others could do without are marked each round and avoided by new tasks; arrivals are expected by the median bucket.

--- a/src/main/kotlin/plankwall/core/ArrivalRate.kt
+++ b/src/main/kotlin/plankwall/core/ArrivalRate.kt
@@ -3,8 +3,8 @@
 import plankwall.model.Resources
 
 /**
- * How much work arrives per second, in the resources that it asks for. Counted in short buckets of which the largest
- * is left out, so that one great submission is not taken for a trend.
+ * How much work arrives per second, in the resources that it asks for: the middle one of many short buckets, so that
+ * neither one great submission nor a morning's burst of hundreds is taken for a trend.
  */
 class ArrivalRate {
     private val buckets = ArrayDeque<Bucket>()
@@ -28,11 +28,7 @@
     fun within(leadS: Double): Resources {
         val full = buckets.dropLast(1)
         if (full.size < MIN_BUCKETS) return Resources.NONE
-        val seconds = (full.size - 1) * BUCKET_S
-        fun part(of: (Resources) -> Long): Long {
-            val amounts = full.map { of(it.need) }
-            return ((amounts.sum() - amounts.max()) * leadS / seconds).toLong()
-        }
+        fun part(of: (Resources) -> Long): Long = (full.map { of(it.need) }.sorted()[full.size / 2] * leadS / BUCKET_S).toLong()
         return Resources(part { it.cpus }, part { it.gpus }, part { it.memory })
     }
 
--- a/src/main/kotlin/plankwall/core/GangPlacer.kt
+++ b/src/main/kotlin/plankwall/core/GangPlacer.kt
@@ -97,24 +97,13 @@
             val newIn = type.bootS + type.fetchS(job.spec.imageGb)
             // A gang still incomplete when new machines should long be here is not put off with them again.
             val limit = if (rentable && ctx.now - job.gatherSince < newIn) newIn * SURELY_SOONER else Double.MAX_VALUE
-            roomIn(job, m)?.let { it + m.fetchWait(job.image, job.spec.imageGb, ctx.now) }?.takeIf { it < limit }?.let { m to it }
+            room.roomIn(job, m)?.let { it + m.fetchWait(job.image, job.spec.imageGb, ctx.now) }?.takeIf { it < limit }?.let { m to it }
         }
         val chosen = soon.sortedBy { it.second }.take(missing)
         chosen.forEach { (m, _) -> m.held += m.free }
         return chosen.size
     }
 
-    /** Seconds until one task of [job] should fit, if nothing else comes; null if nobody can say. */
-    private fun roomIn(job: Job, m: Machine): Double? {
-        var free = m.free
-        val ends = m.placements.values.mapNotNull { p -> p.endsIn(ctx.now)?.let { it to p.job.spec.need } }.sortedBy { it.first }
-        for ((endIn, need) in ends) {
-            free += need
-            if (job.spec.need.fitsIn(free)) return endIn
-        }
-        return null
-    }
-
     /** Several times as long as machines to complete the gang should take to come. */
     private fun patienceS(job: Job): Double =
         4 * (fleet.catalog?.types?.maxOfOrNull { it.bootS + it.fetchS(job.spec.imageGb) } ?: 0.0)
--- a/src/main/kotlin/plankwall/core/Machines.kt
+++ b/src/main/kotlin/plankwall/core/Machines.kt
@@ -69,6 +69,9 @@
     /** Room that is being made here by stopping others. */
     val reservations = ArrayList<Reservation>()
 
+    /** The fleet could do without it: to be left to run empty. */
+    var surplus = false
+
     /** Room that the last placing pass kept for gangs that are not complete yet. */
     var held = Resources.NONE
 
--- a/src/main/kotlin/plankwall/core/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/RentalLoop.kt
@@ -41,6 +41,7 @@
     }
 
     private val arrivalRate = ArrivalRate()
+    private val consolidation = Consolidation(fleet)
     private val rentals = LinkedHashMap<String, Rental>()
     private val arrivals = fleet.arrivals
     private val noCapacityUntil = HashMap<GroupKey, Double>()
@@ -111,6 +112,7 @@
         val wanted = Estimator(ctx, book, catalog).estimate(
             usable, waiting, placer::unreserved, arriving, ::mayExpand, { growth - freeNow - it },
         ) { zone -> owned[zone] ?: 0 }
+        consolidation.refresh(usable, growth)
         wanted.forEach { (group, count) -> rent(group, count, waiting.size) }
         returnUnneeded(freeNow - growth)
     }
--- a/src/main/kotlin/plankwall/core/Room.kt
+++ b/src/main/kotlin/plankwall/core/Room.kt
@@ -1,6 +1,8 @@
 package plankwall.core
 
+import plankwall.model.MachineType
 import plankwall.model.Resources
+import plankwall.model.Shape
 
 /** What room there is, whose it is, and which of it suits a task best. */
 class Room(private val ctx: Context, private val book: JobBook, private val fleet: Fleet) {
@@ -55,6 +57,17 @@
         return found
     }
 
+    /** Seconds until one task of [job] should fit, if nothing else comes; null if nobody can say. */
+    fun roomIn(job: Job, m: Machine): Double? {
+        var free = m.free
+        val ends = m.placements.values.mapNotNull { p -> p.endsIn(ctx.now)?.let { it to p.job.spec.need } }.sortedBy { it.first }
+        for ((endIn, need) in ends) {
+            free += need
+            if (job.spec.need.fitsIn(free)) return endIn
+        }
+        return null
+    }
+
     /** Lower is better: seconds until the image is there, then tight fit, then cheap machines for those who may. */
     fun score(job: Job, m: Machine): Double {
         val type = m.type ?: return Double.MAX_VALUE
@@ -62,13 +75,24 @@
         val idle = share(after.gpus, type.capacity.gpus) + share(after.cpus, type.capacity.cpus)
         val kind = if (job.spec.spot && m.group?.spot == false) SPOT_PREFERENCE_S else 0.0
         val wait = m.fetchWait(job.image, job.spec.imageGb, ctx.now)
-        return wait + m.fetchDelay(job.image, job.spec.imageGb, ctx.now) + idle * FIT_S + kind
+        val spared = if (m.surplus) surplusS(job, type) else 0.0
+        return wait + m.fetchDelay(job.image, job.spec.imageGb, ctx.now) + idle * FIT_S + kind + spared
     }
 
+    /**
+     * How much later a task may start so that a surplus machine runs empty: as much as another fetch costs, unless that
+     * is much of what the task itself takes. Replicas are wanted at once.
+     */
+    private fun surplusS(job: Job, type: MachineType): Double =
+        if (job.spec.shape == Shape.SERVICE) SPARED_BY_REPLICAS_S
+        else minOf(type.fetchS(job.spec.imageGb) + 1.0, job.spec.estimateS * SPARED_PART)
+
     private fun share(part: Long, whole: Long): Double = if (whole <= 0) 0.0 else part.toDouble() / whole
 
     private companion object {
         const val FIT_S = 4.0
+        const val SPARED_BY_REPLICAS_S = 3.0
+        const val SPARED_PART = 0.15
         const val SPOT_PREFERENCE_S = 3.0
     }
 }
