Tasks wait a little for machines that hold their image and should soon have room

Fetching takes 18 to 21% of the money. Tried: a task whose fetch would take long is held up to half that time for a running task to end where the image is.

--- a/src/main/kotlin/plankwall/core/Placer.kt
+++ b/src/main/kotlin/plankwall/core/Placer.kt
@@ -14,6 +14,7 @@
     private val room = Room(ctx, book, fleet)
     private val gangs = GangPlacer(ctx, book, fleet, room)
     private val preemptor = Preemptor(ctx, book, room)
+    private val warm = WarmRoom(ctx, room)
     private var markedAt = Machine.NEVER
     private var markedFor = -1
     private var nextPreemption = 0.0
@@ -30,6 +31,7 @@
     fun plan() {
         markGuaranteed()
         room.beginPass()
+        warm.beginPass()
         val pending = pending()
         if (pending.isEmpty()) {
             unplaced = emptyList()
@@ -48,10 +50,11 @@
         }
         for (job in pending) {
             if (budget > 0) {
-                budget -= if (job.isGang && job.spec.tasks > 1) gangs.place(job, roomy, usable) else placeTasks(job, roomy, full, budget)
+                budget -= if (job.isGang && job.spec.tasks > 1) gangs.place(job, roomy, usable) else placeTasks(job, roomy, usable, full, budget)
             }
             if (job.waiting.isEmpty()) continue
             left.add(job)
+            if (warm.holds(job)) continue
             if (preempting && budget > 0) preemptor.makeRoom(job, usable)
         }
         unplaced = left
@@ -85,11 +88,12 @@
     fun usable(m: Machine): Boolean = fleet.isReady(m) && m.type != null && !m.returning && !m.faulty &&
         m.noticeAt == Machine.NEVER && m.strangers == 0 && m.blockedUntil <= ctx.now
 
-    private fun placeTasks(job: Job, roomy: List<Machine>, full: HashSet<FitKey>, budget: Int): Int {
+    private fun placeTasks(job: Job, roomy: List<Machine>, usable: List<Machine>, full: HashSet<FitKey>, budget: Int): Int {
         if (job.isGang && job.placements.isNotEmpty()) return 0
         if (room.reserved(job) == 0 && job.fit in full) return 0
         var placed = 0
-        while (placed < budget && job.waiting.isNotEmpty()) {
+        var held = 0
+        while (placed < budget && job.waiting.size > held) {
             if (!book.withinLimit(job.team, job.spec.need)) break
             val zones = ZoneRule(job)
             val m = room.best(job, roomy, zones)
@@ -98,6 +102,10 @@
                 if (!zones.binding && job.failedOn.isEmpty()) full.add(job.fit)
                 break
             }
+            if (warm.comesSooner(job, m, usable, zones)) {
+                held++
+                continue
+            }
             book.place(job, job.waiting.first(), m, book.newAttempt())
             placed++
         }
