--- a/src/main/kotlin/plankwall/core/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/RentalLoop.kt
@@ -213,7 +213,7 @@
         fleet.machines
             .filter { m ->
                 val boot = m.type?.bootS ?: DEFAULT_BOOT_S
-                m.unneededSince > Machine.NEVER && ctx.now - m.unneededSince >= orElse(ctx.tuning.unneededS, restoreS(m, wantedImages)) &&
+                m.unneededSince > Machine.NEVER && ctx.now - m.unneededSince >= orElse(ctx.tuning.unneededS, if (m.surplus) boot else restoreS(m, wantedImages)) &&
                     // What is rented in one group says nothing of another, whose machines the waiting tasks may not use.
                     ctx.now - (lastRental[m.group] ?: Machine.NEVER) >= orElse(ctx.tuning.afterRentalS, boot)
             }
