--- a/src/main/kotlin/plankwall/core/Consolidation.kt
+++ b/src/main/kotlin/plankwall/core/Consolidation.kt
@@ -13,7 +13,7 @@
         fleet.machines.forEach { it.surplus = false }
         for ((_, machines) in usable.groupBy { it.group?.spot }) {
             var spare = machines.fold(Resources.NONE) { sum, m -> sum + m.free - m.held } - needed
-            for (m in machines.sortedBy { fill(it) }) {
+            for (m in machines.sortedBy { it.used.partOf(it.type?.capacity ?: Resources.NONE) }) {
                 // Its own room goes, and its tasks, or the next ones in their place, take room elsewhere.
                 spare -= m.type?.capacity ?: break
                 if (spare.cpus < 0 || spare.gpus < 0 || spare.memory < 0) break
@@ -21,10 +21,4 @@
             }
         }
     }
-
-    private fun fill(m: Machine): Double {
-        val all = m.type?.capacity ?: return 1.0
-        fun part(free: Long, of: Long) = if (of <= 0) 0.0 else 1.0 - free.toDouble() / of
-        return maxOf(part(m.free.cpus, all.cpus), part(m.free.gpus, all.gpus), part(m.free.memory, all.memory))
-    }
 }
--- a/src/main/kotlin/plankwall/core/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/Estimator.kt
@@ -88,7 +88,7 @@
         var best: Pair<GroupKey, Int>? = null
         var lowest = Double.MAX_VALUE
         for (type in catalog.types) {
-            val count = Math.round(share(missing, type.capacity)).toInt()
+            val count = Math.round(missing.partOf(type.capacity)).toInt()
             if (count == 0) continue
             val zone = type.zones.filter { mayExpand(GroupKey(type.name, it, false)) }.minByOrNull { owned(it) } ?: continue
             if (count * type.price < lowest) {
@@ -99,11 +99,6 @@
         return best
     }
 
-    private fun share(part: Resources, whole: Resources): Double {
-        fun one(p: Long, w: Long) = if (p <= 0 || w <= 0) 0.0 else p.toDouble() / w
-        return maxOf(one(part.cpus, whole.cpus), one(part.gpus, whole.gpus), one(part.memory, whole.memory))
-    }
-
     private fun withinLimit(job: Job, planned: Map<Int, Resources>): Boolean {
         val sum = book.used(job.team) + (planned[job.team.value] ?: Resources.NONE) + job.spec.need
         return ctx.settings.teams[job.team.value].allows(sum)
--- a/src/main/kotlin/plankwall/core/Machines.kt
+++ b/src/main/kotlin/plankwall/core/Machines.kt
@@ -5,6 +5,7 @@
 import plankwall.model.MachineIx
 import plankwall.model.MachineType
 import plankwall.model.Resources
+import plankwall.model.Shape
 import plankwall.wire.ListedState
 
 /** What the leader knows of one machine. */
@@ -83,6 +84,12 @@
 
     private val capacity: Resources get() = type?.capacity ?: Resources.NONE
 
+    /** Accelerators and processors taken by replicas, which stay, unlike all other tasks. */
+    private var lasting = Resources.NONE
+
+    /** The part of the machine that replicas take. */
+    val lastingShare: Double get() = lasting.partOf(capacity)
+
     /** Kept rather than computed: a placing pass looks at it for every machine and every task. */
     var free: Resources = Resources.NONE
         private set
@@ -90,12 +97,14 @@
     fun add(p: Placement) {
         placements[key(p)] = p
         used += p.job.spec.need
+        if (p.job.spec.shape == Shape.SERVICE) lasting += p.job.spec.need
         free = capacity - used
     }
 
     fun remove(p: Placement) {
         if (placements.remove(key(p)) == null) return
         used -= p.job.spec.need
+        if (p.job.spec.shape == Shape.SERVICE) lasting -= p.job.spec.need
         free = capacity - used
     }
 
--- a/src/main/kotlin/plankwall/core/Room.kt
+++ b/src/main/kotlin/plankwall/core/Room.kt
@@ -76,7 +76,9 @@
         val kind = if (job.spec.spot && m.group?.spot == false) SPOT_PREFERENCE_S else 0.0
         val wait = m.fetchWait(job.image, job.spec.imageGb, ctx.now)
         val spared = if (m.surplus) surplusS(job, type) else 0.0
-        return wait + m.fetchDelay(job.image, job.spec.imageGb, ctx.now) + idle * FIT_S + kind + spared
+        // Replicas side by side leave other machines to tasks that end, and those machines can go back when they have.
+        val mixed = (if (job.spec.shape == Shape.SERVICE) 1.0 - m.lastingShare else m.lastingShare) * APART_S
+        return wait + m.fetchDelay(job.image, job.spec.imageGb, ctx.now) + idle * FIT_S + kind + spared + mixed
     }
 
     /**
@@ -91,6 +93,7 @@
 
     private companion object {
         const val FIT_S = 4.0
+        const val APART_S = 6.0
         const val SPARED_BY_REPLICAS_S = 3.0
         const val SPARED_PART = 0.15
         const val SPOT_PREFERENCE_S = 3.0
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -35,6 +35,7 @@
     private val answers = HashMap<RequestId, CompletableDeferred<HttpReply>>()
     private var nextRequest = 1L
     private var workerPosts = 0
+    private var shedPosts = 0
     private val postSlots = Semaphore(MAX_WORKER_POSTS)
     private val peers = PeerLinks(scope, selector, settings.peers) { feed(Input.PeerHeard(it)) }
 
@@ -48,6 +49,10 @@
         while (scope.isActive) {
             feed(Input.Tick)
             delay(TICK_MS)
+            if (shedPosts > 0 && workerPosts < MAX_WORKER_POSTS) {
+                log.info("direct commands shed: {} beyond the {} that may wait", shedPosts, MAX_QUEUED_POSTS)
+                shedPosts = 0
+            }
         }
     }
 
@@ -74,7 +79,7 @@
     /** Direct commands only hasten what the next check-in brings anyway: those beyond the bound are let go. */
     private fun queue(effect: Effect.WorkerPost) {
         if (workerPosts >= MAX_QUEUED_POSTS) {
-            log.info("direct commands to {} shed: {} wait for a connection", effect.machine, workerPosts)
+            shedPosts++
             return
         }
         workerPosts++
--- a/src/main/kotlin/plankwall/model/Resources.kt
+++ b/src/main/kotlin/plankwall/model/Resources.kt
@@ -16,6 +16,12 @@
 
     fun fitsIn(o: Resources): Boolean = cpus <= o.cpus && gpus <= o.gpus && memory <= o.memory
 
+    /** The largest of the parts that this is of [whole]. */
+    fun partOf(whole: Resources): Double {
+        fun part(p: Long, w: Long) = if (w <= 0) 0.0 else p.toDouble() / w
+        return maxOf(part(cpus, whole.cpus), part(gpus, whole.gpus), part(memory, whole.memory))
+    }
+
     fun least(o: Resources) = Resources(minOf(cpus, o.cpus), minOf(gpus, o.gpus), minOf(memory, o.memory))
 
     /** How many of [need] fit side by side. */
