--- a/src/main/kotlin/plankwall/model/Resources.kt
+++ b/src/main/kotlin/plankwall/model/Resources.kt
@@ -16,9 +16,9 @@
 
     fun fitsIn(o: Resources): Boolean = cpus <= o.cpus && gpus <= o.gpus && memory <= o.memory
 
-    /** The largest of the parts that this is of [whole]. */
+    /** The largest of the parts that this is of [whole]; what is below nothing counts as nothing. */
     fun partOf(whole: Resources): Double {
-        fun part(p: Long, w: Long) = if (w <= 0) 0.0 else p.toDouble() / w
+        fun part(p: Long, w: Long) = if (p <= 0 || w <= 0) 0.0 else p.toDouble() / w
         return maxOf(part(cpus, whole.cpus), part(gpus, whole.gpus), part(memory, whole.memory))
     }
 
