--- a/src/main/kotlin/plankwall/core/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/Estimator.kt
@@ -13,6 +13,7 @@
 class Estimator(private val ctx: Context, private val book: JobBook, private val catalog: Catalog) {
     private open class Bin(val group: GroupKey, var free: Resources) {
         open fun freeFor(job: Job): Resources = free
+        open val freeNow: Resources get() = free
     }
 
     /**
@@ -22,10 +23,12 @@
     private inner class Vacating(val machine: Machine, group: GroupKey) : Bin(group, Resources.NONE) {
         private val ends = machine.placements.values.mapNotNull { p -> p.endsIn(ctx.now)?.let { it to p.job.spec.need } }
 
+        // `free` is below zero by what has been promised here so far.
+        override val freeNow: Resources get() = machine.free - machine.held + free
+
         override fun freeFor(job: Job): Resources {
             val type = machine.type ?: return Resources.NONE
-            // `free` is below zero by what has been promised here so far.
-            val now = machine.free - machine.held + free
+            val now = freeNow
             // Estimates are often too low, and smaller tasks take what comes free: a task that needs several to end at
             // once may be promised such room for ever. One that has waited a while is not put off with it again, and a
             // gang, which needs it on several machines at once, never.
@@ -47,7 +50,7 @@
         waitingOf: (Job) -> Int,
         arriving: List<GroupKey>,
         mayExpand: (GroupKey) -> Boolean,
-        shortOf: (arrivingFree: Resources) -> Resources,
+        growth: Growth,
         owned: (zone: String) -> Int,
     ): Map<GroupKey, Int> {
         val bins = ArrayList<Bin>()
@@ -78,22 +81,34 @@
                 planned.merge(job.team.value, job.spec.need, Resources::plus)
             }
         }
-        val free = bins.filter { it !is Vacating }.fold(Resources.NONE) { sum, b -> sum + b.free }
-        ahead(shortOf(free), mayExpand, owned)?.let { (group, count) -> wanted.merge(group, count, Int::plus) }
+        ahead(growth, bins, mayExpand, owned).forEach { (group, count) -> wanted.merge(group, count, Int::plus) }
         return wanted
     }
 
-    /** Machines for demand that is still to come: ordinary ones of the type that gives the missing room most cheaply. */
-    private fun ahead(missing: Resources, mayExpand: (GroupKey) -> Boolean, owned: (String) -> Int): Pair<GroupKey, Int>? {
+    /**
+     * Machines for demand that is still to come, beside what is free and arriving: spot ones for the part that may use
+     * them, as far as they are to be had.
+     */
+    private fun ahead(growth: Growth, bins: List<Bin>, mayExpand: (GroupKey) -> Boolean, owned: (String) -> Int): List<Pair<GroupKey, Int>> {
+        fun free(spot: Boolean) = bins.filter { it.group.spot == spot }.fold(Resources.NONE) { sum, b -> sum + b.freeNow.atLeastNothing() }
+        val spot = growth.spot - free(spot = true)
+        val onSpot = cheapestFor(spot, true, mayExpand, owned)
+        val rest = growth.other - free(spot = false) + if (onSpot == null) spot.atLeastNothing() else Resources.NONE
+        return listOfNotNull(onSpot, cheapestFor(rest, false, mayExpand, owned))
+    }
+
+    /** The type that gives the missing room most cheaply. */
+    private fun cheapestFor(missing: Resources, spot: Boolean, mayExpand: (GroupKey) -> Boolean, owned: (String) -> Int): Pair<GroupKey, Int>? {
         var best: Pair<GroupKey, Int>? = null
         var lowest = Double.MAX_VALUE
         for (type in catalog.types) {
+            val price = if (spot) type.spotPrice else type.price
             val count = Math.round(missing.partOf(type.capacity)).toInt()
-            if (count == 0) continue
-            val zone = type.zones.filter { mayExpand(GroupKey(type.name, it, false)) }.minByOrNull { owned(it) } ?: continue
-            if (count * type.price < lowest) {
-                lowest = count * type.price
-                best = GroupKey(type.name, zone, false) to count
+            if (count == 0 || price <= 0.0) continue
+            val zone = type.zones.filter { mayExpand(GroupKey(type.name, it, spot)) }.minByOrNull { owned(it) } ?: continue
+            if (count * price < lowest) {
+                lowest = count * price
+                best = GroupKey(type.name, zone, spot) to count
             }
         }
         return best
--- /dev/null
+++ b/src/main/kotlin/plankwall/core/Growth.kt
@@ -0,0 +1,33 @@
+package plankwall.core
+
+import plankwall.model.Resources
+import plankwall.model.Shape
+
+/** Room for work that should arrive within a boot, less what should end by then; apart, what may use spot machines. */
+class Growth(val spot: Resources, val other: Resources) {
+    val all: Resources get() = spot + other
+
+    companion object {
+        val NONE = Growth(Resources.NONE, Resources.NONE)
+    }
+}
+
+/** Watches what arrives of a part of all jobs, and says by how much it should grow. */
+class GrowthWatch(private val ctx: Context, private val since: Double, private val counts: (Job) -> Boolean) {
+    private val spot = ArrivalRate()
+    private val other = ArrivalRate()
+
+    fun expect(live: Collection<Job>, leadS: Double): Growth {
+        val (forSpot, forOther) = live.filter(counts).partition { it.spec.spot }
+        return Growth(net(spot, forSpot, leadS), net(other, forOther, leadS))
+    }
+
+    private fun net(rate: ArrivalRate, jobs: List<Job>, leadS: Double): Resources {
+        // What was there at the take-over did not arrive since.
+        rate.note(ctx.now, jobs.filter { it.learnedAt > since + 1.0 })
+        val leaving = jobs.flatMap { it.placements.values }
+            .filter { it.job.spec.shape != Shape.SERVICE && it.runningSince > 0 && it.runningSince + it.job.spec.estimateS < ctx.now + leadS }
+            .fold(Resources.NONE) { sum, p -> sum + p.job.spec.need }
+        return (rate.within(leadS) - leaving).atLeastNothing()
+    }
+}
--- a/src/main/kotlin/plankwall/core/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/RentalLoop.kt
@@ -3,7 +3,6 @@
 import org.slf4j.LoggerFactory
 import plankwall.model.GroupKey
 import plankwall.model.Resources
-import plankwall.model.Shape
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
 import plankwall.wire.FleetRecord
@@ -40,7 +39,13 @@
         var nextTry = 0.0
     }
 
-    private val arrivalRate = ArrivalRate()
+
+    /**
+     * Rented ahead is for teams with a guarantee only: theirs need not wait, while to others a late start is worth less
+     * than an idle machine costs. What is there already is kept for all that should come.
+     */
+    private val owed = GrowthWatch(ctx, startedAt) { ctx.settings.teams[it.team.value].hasGuarantee }
+    private val any = GrowthWatch(ctx, startedAt) { true }
     private val consolidation = Consolidation(fleet)
     private val rentals = LinkedHashMap<String, Rental>()
     private val arrivals = fleet.arrivals
@@ -105,31 +110,16 @@
         val arriving = arrivals.values.filter { !registry.isLate(it) }.map { it.group } +
             rentals.values.flatMap { r -> List(r.stored.count) { r.stored.group } }
         val waiting = placer.unplaced.filter { placer.unreserved(it) > 0 }
-        val growth = expectedGrowth()
+        val lead = catalog.types.maxOfOrNull { it.bootS } ?: return
+        val growth = owed.expect(book.live, lead)
         val usable = fleet.machines.filter { placer.usable(it) }
-        val freeNow = usable.filter { it.group?.spot == false }.fold(Resources.NONE) { sum, m -> sum + m.free }
         val owned = fleet.machines.filter { !it.returning }.groupingBy { it.group?.zone }.eachCount()
         val wanted = Estimator(ctx, book, catalog).estimate(
-            usable, waiting, placer::unreserved, arriving, ::mayExpand, { growth - freeNow - it },
+            usable, waiting, placer::unreserved, arriving, ::mayExpand, growth,
         ) { zone -> owned[zone] ?: 0 }
-        consolidation.refresh(usable, growth)
+        consolidation.refresh(usable, any.expect(book.live, lead).all)
         wanted.forEach { (group, count) -> rent(group, count, waiting.size) }
-        returnUnneeded(freeNow - growth)
-    }
-
-    /**
-     * Room for the guaranteed work that should arrive within a boot, less what should end by then. Only for teams
-     * with a guarantee: theirs need not wait, while to others a late start is worth less than an idle machine costs.
-     */
-    private fun expectedGrowth(): Resources {
-        val lead = fleet.catalog?.types?.maxOfOrNull { it.bootS } ?: return Resources.NONE
-        val owed = book.live.filter { ctx.settings.teams[it.team.value].hasGuarantee }
-        arrivalRate.note(ctx.now, owed.filter { it.learnedAt > startedAt + 1.0 })
-        val leaving = owed.flatMap { it.placements.values }
-            .filter { it.job.spec.shape != Shape.SERVICE && it.runningSince > 0 && it.runningSince + it.job.spec.estimateS < ctx.now + lead }
-            .fold(Resources.NONE) { sum, p -> sum + p.job.spec.need }
-        val net = arrivalRate.within(lead) - leaving
-        return Resources(net.cpus.coerceAtLeast(0), net.gpus.coerceAtLeast(0), net.memory.coerceAtLeast(0))
+        returnUnneeded(usable, growth)
     }
 
     private fun awaited(m: Machine): Boolean = !m.registered && !m.returning && m.id !in arrivals && m.listed != ListedState.FAILED
@@ -201,8 +191,9 @@
         it.job.withdrawn && ctx.time.wallMs - it.job.withdrawnMs > ctx.settings.workers.cancelS * 1000 * WITHDRAWN_PATIENCE
     }
 
-    private fun returnUnneeded(spare: Resources) {
-        var left = spare
+    private fun returnUnneeded(usable: List<Machine>, growth: Growth) {
+        fun free(spot: Boolean) = usable.filter { it.group?.spot == spot }.fold(Resources.NONE) { sum, m -> sum + m.free }
+        var left = free(spot = false) - growth.other - (growth.spot - free(spot = true)).atLeastNothing()
         val wantedImages = book.live.filter { !it.withdrawn }.map { it.image.value }.toSet()
         for (m in fleet.machines) {
             // Room kept for a gang that is not complete yet, or made for a task under way, is needed.
@@ -213,7 +204,7 @@
         fleet.machines
             .filter { m ->
                 val boot = m.type?.bootS ?: DEFAULT_BOOT_S
-                m.unneededSince > Machine.NEVER && ctx.now - m.unneededSince >= orElse(ctx.tuning.unneededS, if (m.surplus) boot else restoreS(m, wantedImages)) &&
+                m.unneededSince > Machine.NEVER && ctx.now - m.unneededSince >= orElse(ctx.tuning.unneededS, if (m.surplus) boot * SURPLUS_PATIENCE else restoreS(m, wantedImages)) &&
                     // What is rented in one group says nothing of another, whose machines the waiting tasks may not use.
                     ctx.now - (lastRental[m.group] ?: Machine.NEVER) >= orElse(ctx.tuning.afterRentalS, boot)
             }
@@ -421,6 +412,9 @@
         const val DRAIN_S = 15.0
         const val MAX_RENTALS = 20
         const val MAX_PER_RENTAL = 50
+
+        /** The others have room for all that should come within a boot: only the unexpected would need this one. */
+        const val SURPLUS_PATIENCE = 0.25
         const val MAX_PER_DELETE = 100
         const val MIN_RETURNS_PER_ROUND = 4
         const val WITHDRAWN_PATIENCE = 0.35
--- a/src/main/kotlin/plankwall/core/Room.kt
+++ b/src/main/kotlin/plankwall/core/Room.kt
@@ -96,6 +96,6 @@
         const val APART_S = 6.0
         const val SPARED_BY_REPLICAS_S = 3.0
         const val SPARED_PART = 0.15
-        const val SPOT_PREFERENCE_S = 3.0
+        const val SPOT_PREFERENCE_S = 6.0
     }
 }
--- a/src/main/kotlin/plankwall/model/Resources.kt
+++ b/src/main/kotlin/plankwall/model/Resources.kt
@@ -22,6 +22,8 @@
         return maxOf(part(cpus, whole.cpus), part(gpus, whole.gpus), part(memory, whole.memory))
     }
 
+    fun atLeastNothing() = Resources(cpus.coerceAtLeast(0), gpus.coerceAtLeast(0), memory.coerceAtLeast(0))
+
     fun least(o: Resources) = Resources(minOf(cpus, o.cpus), minOf(gpus, o.gpus), minOf(memory, o.memory))
 
     /** How many of [need] fit side by side. */
