--- a/src/main/kotlin/plankwall/core/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/RentalLoop.kt
@@ -46,6 +46,7 @@
      */
     private val owed = GrowthWatch(ctx, startedAt) { ctx.settings.teams[it.team.value].hasGuarantee }
     private val any = GrowthWatch(ctx, startedAt) { true }
+    private val bootTimes = BootTimes()
     private val consolidation = Consolidation(fleet)
     private val rentals = LinkedHashMap<String, Rental>()
     private val arrivals = fleet.arrivals
@@ -82,7 +83,7 @@
 
     fun tick() {
         pollCloud()
-        arrivals.values.removeIf { fleet.find(it.machine)?.registered ?: true }
+        arrivals.values.removeIf { arrived(it) }
         if (ctx.now >= nextRound) {
             nextRound = ctx.now + ROUND_S
             round()
@@ -92,6 +93,17 @@
         sendReturns()
     }
 
+    private fun arrived(a: Arrival): Boolean {
+        val m = fleet.find(a.machine) ?: return true
+        if (m.registered) m.type?.let { bootTimes.note(it, m.registeredAt - a.rentedAt) }
+        return m.registered
+    }
+
+    private fun mayBeCountedOn(a: Arrival): Boolean {
+        val type = fleet.catalog?.get(a.group.type) ?: return false
+        return !registry.isLate(a) && ctx.now - a.rentedAt < bootTimes.trustedS(type)
+    }
+
     private fun round() {
         val catalog = fleet.catalog ?: return
         registry.refresh(arrivals)
@@ -107,7 +119,7 @@
         }
         returnUnregistered()
         if (cutShortGroups()) return
-        val arriving = arrivals.values.filter { !registry.isLate(it) }.map { it.group } +
+        val arriving = arrivals.values.filter { mayBeCountedOn(it) }.map { it.group } +
             rentals.values.flatMap { r -> List(r.stored.count) { r.stored.group } }
         val waiting = placer.unplaced.filter { placer.unreserved(it) > 0 }
         val lead = catalog.types.maxOfOrNull { it.bootS } ?: return
