A take-over takes no machine at work for a missing one; dead machines heard since are replaced at once

Cause (found by a test for the second part): the stored record is written on decisions and goes on naming machines as arriving that have come since; 120 s after their rental a new leader, which had read neither list nor reports yet, gave them back as missing with all that ran on them. After: an arrival with work on it has come; missing is counted from the take-over; boots are timed only for what this leader rented. RentalDaysTest loses a machine 3 s after a take-over: it failed in both ways before.

--- a/src/main/kotlin/plankwall/core/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/RentalLoop.kt
@@ -95,8 +95,10 @@
 
     private fun arrived(a: Arrival): Boolean {
         val m = fleet.find(a.machine) ?: return true
-        if (m.registered) m.type?.let { bootTimes.note(it, m.registeredAt - a.rentedAt) }
-        return m.registered
+        // What an earlier leader rented may have been up long before it reported to this one.
+        if (m.registered && a.rentedAt > startedAt) m.type?.let { bootTimes.note(it, m.registeredAt - a.rentedAt) }
+        // The stored record is written on decisions and may name machines that have come since; work proves that.
+        return m.registered || m.placements.isNotEmpty()
     }
 
     private fun mayBeCountedOn(a: Arrival): Boolean {
@@ -165,7 +167,8 @@
     /** UC4: names that the cloud gave and that neither its list nor a worker ever showed. */
     private fun cutShortGroups(): Boolean {
         val missing = arrivals.values.filter {
-            ctx.now - it.rentedAt > ctx.tuning.shortGroupS && fleet.find(it.machine)?.listed == null
+            // Counted from the take-over at the earliest: before, this leader had neither list nor reports to go by.
+            ctx.now - maxOf(it.rentedAt, startedAt) > ctx.tuning.shortGroupS && fleet.find(it.machine)?.listed == null
         }
         missing.forEach { a -> fleet.find(a.machine)?.let { giveBack(it, "group ${a.group} short of it for long") } }
         return missing.isNotEmpty()
@@ -193,9 +196,11 @@
     private fun silentAlone(m: Machine): Boolean {
         if (fleet.isReady(m) || m.placements.isEmpty() || !registry.inGoodShape) return false
         if (!m.registered && m.id in arrivals) return false
-        // After a cut or a take-over the last worker finds its way back many seconds after the first.
+        // After a cut or a take-over the last worker finds its way back many seconds after the first. One that has been
+        // heard since the take-over was back already.
         val zone = m.group?.zone ?: return false
-        return ctx.now - maxOf(startedAt, registry.troubledAt(zone)) > ctx.settings.workers.reportS * WAY_BACK_REPORTS
+        val from = if (m.registered) registry.troubledAt(zone) else maxOf(startedAt, registry.troubledAt(zone))
+        return ctx.now - from > ctx.settings.workers.reportS * WAY_BACK_REPORTS
     }
 
     /** A withdrawn task must be gone in time; a machine that can't be told is deleted with all that is on it. */
--- a/src/test/kotlin/plankwall/RentalDaysTest.kt
+++ b/src/test/kotlin/plankwall/RentalDaysTest.kt
@@ -87,6 +87,20 @@
         assertEquals(1, world.cloud.rentals)
     }
 
+    @Test
+    fun `a machine that dies soon after a take-over is replaced before its lease would be over`() {
+        val world = world()
+        world.clock.after(2.0) { world.submit(World.job(1, Shape.SERVICE, tasks = 24)) }
+        world.clock.runUntil(45.0)
+        world.nodes.first { it.leading }.crash(8.0)
+        world.clock.runUntil(53.0)
+        // The list goes on showing it as running for a while.
+        val dead = world.cloud.workers.first().also { it.die() }.id
+        world.clock.runUntil(66.0)
+        assertTrue(world.cloud.alive.none { it.id == dead }, "the dead machine is still kept")
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+
     @Test
     fun `the leader hands over when only it is cut off from the workers`() {
         val world = world()
