--- a/src/main/kotlin/plankwall/core/Room.kt
+++ b/src/main/kotlin/plankwall/core/Room.kt
@@ -77,7 +77,8 @@
         val wait = m.fetchWait(job.image, job.spec.imageGb, ctx.now)
         val spared = if (m.surplus) surplusS(job, type) else 0.0
         // Replicas side by side leave other machines to tasks that end, and those machines can go back when they have.
-        val mixed = (if (job.spec.shape == Shape.SERVICE) 1.0 - m.lastingShare else m.lastingShare) * APART_S
+        // For a replica that only breaks ties: it is wanted at once, and a fetch takes longer.
+        val mixed = if (job.spec.shape == Shape.SERVICE) (1.0 - m.lastingShare) * TIE_S else m.lastingShare * APART_S
         return wait + m.fetchDelay(job.image, job.spec.imageGb, ctx.now) + idle * FIT_S + kind + spared + mixed
     }
 
@@ -94,7 +95,8 @@
     private companion object {
         const val FIT_S = 4.0
         const val APART_S = 6.0
-        const val SPARED_BY_REPLICAS_S = 3.0
+        const val TIE_S = 1.5
+        const val SPARED_BY_REPLICAS_S = 1.0
         const val SPARED_PART = 0.15
         const val SPOT_PREFERENCE_S = 6.0
     }
