--- a/src/main/kotlin/plankwall/core/JobLedger.kt
+++ b/src/main/kotlin/plankwall/core/JobLedger.kt
@@ -24,9 +24,6 @@
     private var nextRead = 0.0
     private val gapS = maxOf(MIN_GAP_S, ctx.settings.nodes / (ctx.settings.state.rps * PART_OF_RATE))
 
-    /** How many questions wait. */
-    val size: Int get() = waiting.size
-
     /** Calls [then] once the copy is newer than this moment, with false if the store could not be read. */
     fun whenFresh(then: (Boolean) -> Unit) {
         waiting.add(then)
