--- a/src/test/kotlin/plankwall/LargeSiteTest.kt
+++ b/src/test/kotlin/plankwall/LargeSiteTest.kt
@@ -13,14 +13,15 @@
     fun `rents hundreds of machines in few calls and stays within the state service's rates`() {
         val world = World(21)
         world.cloud.capacity = 1000
-        for (n in 1..60) world.clock.after(2.0 + n * 0.02) { world.submit(World.job(n, tasks = 25, runS = 60.0)) }
+        for (n in 1..90) world.clock.after(2.0 + n * 0.02) { world.submit(World.job(n, tasks = 25, runS = 60.0)) }
         world.clock.runUntil(25.0)
-        assertTrue(world.cloud.rentals in 375..390, "${world.cloud.rentals} machines for 1500 tasks, four on each")
+        // More than a page of the cloud's list holds.
+        assertTrue(world.cloud.rentals in 563..580, "${world.cloud.rentals} machines for 2250 tasks, four on each")
         world.clock.after(5.0) { world.nodes.first { it.leading }.crash(8.0) }
         world.clock.runUntil(150.0)
         assertEquals(emptyList<String>(), world.checker.broken)
-        assertEquals(1500, world.checker.starts)
-        assertEquals("done", world.stageOf("job-000060"))
+        assertEquals(2250, world.checker.starts)
+        assertEquals("done", world.stageOf("job-000090"))
         assertTrue(world.state.busiestWrites.most <= world.settings.state.writeRps, "${world.state.busiestWrites.most} writes")
         assertTrue(world.state.busiestCalls.most <= world.settings.state.rps, "${world.state.busiestCalls.most} calls")
     }
@@ -47,4 +48,29 @@
         assertEquals("done", world.stageOf("job-000001"))
         assertEquals(emptyList<String>(), world.checker.broken)
     }
+
+    @Test
+    fun `a job of the largest size runs as far as there is room, and is gone when withdrawn`() {
+        val world = World(24)
+        world.cloud.capacity = 20
+        world.clock.after(1.0) { world.submit(World.job(1, tasks = 100_000, runS = 15.0), withdrawAfter = 60.0) }
+        world.clock.runUntil(55.0)
+        assertEquals("running", world.stageOf("job-000001"))
+        assertTrue(world.checker.starts >= 120, "only ${world.checker.starts} starts")
+        world.clock.runUntil(110.0)
+        assertEquals("withdrawn", world.stageOf("job-000001"))
+        assertEquals(emptyList<String>(), world.checker.broken)
+        assertTrue(world.state.busiestWrites.most <= world.settings.state.writeRps, "${world.state.busiestWrites.most} writes")
+    }
+
+    @Test
+    fun `a guarantee beyond what can be rented is served as far as it goes`() {
+        val world = World(25)
+        world.cloud.capacity = 1
+        world.clock.after(1.0) { world.submit(World.job(1, Shape.SERVICE, tasks = 8, team = "red")) }
+        world.clock.runUntil(120.0)
+        assertEquals("running", world.stageOf("job-000001"))
+        assertEquals(4, world.checker.starts)
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
 }
