What is kept for gangs lasts one pass; one name for a gang of several

The count of tasks for which room is kept was cleared only when its gang was looked at again: a gang withdrawn while it waited stayed in memory for good, and one that a full pass did not reach was still counted as provided for although its room had been let go. It is now cleared with the room, at the start of the pass. Otherwise behaviour is unchanged.

--- a/src/main/kotlin/plankwall/core/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/Estimator.kt
@@ -32,7 +32,7 @@
             // Estimates are often too low, and smaller tasks take what comes free: a task that needs several to end at
             // once may be promised such room for ever. One that has waited a while is not put off with it again, and a
             // gang, which needs it on several machines at once, never.
-            if (ends.isEmpty() || (job.isGang && job.spec.tasks > 1)) return now
+            if (ends.isEmpty() || job.isGangOfSeveral) return now
             val newIn = newMachineIn(job, type)
             if (ctx.time.wallMs - job.submittedMs > newIn * 1000 * TRUST) return now
             val limit = newIn - machine.fetchWait(job.image, job.spec.imageGb, ctx.now)
--- a/src/main/kotlin/plankwall/core/GangPlacer.kt
+++ b/src/main/kotlin/plankwall/core/GangPlacer.kt
@@ -21,9 +21,11 @@
 
     private class Seat(val machine: Machine, val score: Double, val wait: Double)
 
+    /** What was kept is kept for one pass; a job that is over must not be remembered. */
+    fun beginPass() = held.clear()
+
     /** The number of tasks placed. */
     fun place(job: Job, roomy: List<Machine>, usable: List<Machine>): Int {
-        held.remove(job)
         // Nothing may be left of its last attempt.
         if (job.placements.isNotEmpty() || !book.withinLimit(job.team, job.spec.need * job.waiting.size)) return 0
         val seats = seats(job, roomy)
--- a/src/main/kotlin/plankwall/core/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/Jobs.kt
@@ -109,6 +109,9 @@
 
     val isGang: Boolean get() = spec.shape == Shape.GANG
 
+    /** A gang of one has nobody to wait for and is treated as any other task. */
+    val isGangOfSeveral: Boolean get() = isGang && spec.tasks > 1
+
     val fit = FitKey(spec.need, spec.types, spec.zone, spec.spot, spec.priority)
 
     /** The zone in which room for a gang is being gathered, and since when. */
--- a/src/main/kotlin/plankwall/core/Machines.kt
+++ b/src/main/kotlin/plankwall/core/Machines.kt
@@ -73,7 +73,10 @@
     /** The fleet could do without it: to be left to run empty. */
     var surplus = false
 
-    /** Room that the last placing pass kept for gangs that are not complete yet. */
+    /**
+     * Room that the last placing pass kept for gangs that are not complete yet. Anything but [Resources.NONE] itself says
+     * that the machine is kept, even where nothing of it is free yet.
+     */
     var held = Resources.NONE
 
     class Reservation(val job: Job, val until: Double)
--- a/src/main/kotlin/plankwall/core/Placer.kt
+++ b/src/main/kotlin/plankwall/core/Placer.kt
@@ -3,7 +3,6 @@
 import plankwall.model.GroupKey
 import plankwall.model.JobSpec
 import plankwall.model.Resources
-import plankwall.model.TeamIx
 
 /**
  * Decides which waiting task goes to which machine. A pass looks only at machines with room for the smallest waiting
@@ -11,7 +10,7 @@
  * queue, searching them all for every job would take the processor that answering the workers needs.
  */
 class Placer(private val ctx: Context, private val book: JobBook, private val fleet: Fleet) {
-    private val room = Room(ctx, book, fleet)
+    private val room = Room(ctx, fleet)
     private val gangs = GangPlacer(ctx, book, fleet, room)
     private val preemptor = Preemptor(ctx, book, room)
     private val warm = WarmRoom(ctx, room)
@@ -31,6 +30,7 @@
     fun plan() {
         markGuaranteed()
         room.beginPass()
+        gangs.beginPass()
         warm.beginPass()
         val pending = pending()
         if (pending.isEmpty()) {
@@ -50,7 +50,7 @@
         }
         for (job in pending) {
             if (budget > 0) {
-                budget -= if (job.isGang && job.spec.tasks > 1) gangs.place(job, roomy, usable) else placeTasks(job, roomy, usable, full, budget)
+                budget -= if (job.isGangOfSeveral) gangs.place(job, roomy, usable) else placeTasks(job, roomy, usable, full, budget)
             }
             if (job.waiting.isEmpty()) continue
             left.add(job)
--- a/src/main/kotlin/plankwall/core/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/Preemptor.kt
@@ -20,7 +20,7 @@
     fun makeRoom(job: Job, usable: List<Machine>) {
         if (job.spec.priority <= Priority.LOW && !job.guaranteed) return
         if (job.isGang && job.placements.isNotEmpty()) return
-        if (job.isGang && job.spec.tasks > 1) {
+        if (job.isGangOfSeveral) {
             makeRoomForGang(job, usable)
             return
         }
@@ -123,7 +123,7 @@
 
     private fun mayPreempt(job: Job, victim: Job): Boolean {
         // A gang of several would be lost as a whole; leave it to those who have no other way.
-        if (victim.isGang && victim.spec.tasks > 1 && job.spec.priority < Priority.PRODUCTION) return false
+        if (victim.isGangOfSeveral && job.spec.priority < Priority.PRODUCTION) return false
         if (victim.spec.priority < job.spec.priority) return true
         // A guarantee is owed, but not at the cost of more important work: two jobs would push each other about.
         return job.guaranteed && !victim.guaranteed && victim.team != job.team &&
--- a/src/main/kotlin/plankwall/core/Room.kt
+++ b/src/main/kotlin/plankwall/core/Room.kt
@@ -5,7 +5,7 @@
 import plankwall.model.Shape
 
 /** What room there is, whose it is, and which of it suits a task best. */
-class Room(private val ctx: Context, private val book: JobBook, private val fleet: Fleet) {
+class Room(private val ctx: Context, private val fleet: Fleet) {
     private val reserved = HashMap<Job, Int>()
 
     /** Reservations end when their job needs them no more, or when the room did not come in time. */
--- a/src/test/kotlin/plankwall/WarmRoomTest.kt
+++ b/src/test/kotlin/plankwall/WarmRoomTest.kt
@@ -25,7 +25,7 @@
     private val ctx = Context(World.settings("n0", 3), Tuning(), 1, Random(1)).apply { time.advance(1000.0, wallMs) }
     private val fleet = Fleet(ctx).apply { catalog = World.CATALOG }
     private val book = JobBook(ctx, LeaderStore(ctx, Leadership(ctx, {}, {})), fleet)
-    private val warm = WarmRoom(ctx, Room(ctx, book, fleet))
+    private val warm = WarmRoom(ctx, Room(ctx, fleet))
 
     private fun learn(number: Int, shape: Shape, gpus: Long, gb: Double, waitedS: Double = 0.0) =
         World.job(number, shape, tasks = 1, gpus = gpus, runS = 60.0).copy(image = "image", imageGb = gb).let {
