--- a/src/test/kotlin/plankwall/ConsolidationTest.kt
+++ b/src/test/kotlin/plankwall/ConsolidationTest.kt
@@ -5,29 +5,16 @@
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.ArrivalRate
 import plankwall.core.Consolidation
-import plankwall.core.Context
-import plankwall.core.Fleet
-import plankwall.core.JobBook
-import plankwall.core.LeaderStore
-import plankwall.core.Leadership
-import plankwall.model.GroupKey
 import plankwall.model.Resources
-import plankwall.model.Tuning
+import plankwall.sim.CoreParts
 import plankwall.sim.World
-import plankwall.wire.JobRecord
-import java.util.Random
 
 /** What the fleet could do without, and how much work is to be expected. */
 class ConsolidationTest {
-    private val ctx = Context(World.settings("n0", 3), Tuning(), 1, Random(1)).apply { time.advance(1000.0, 1_000_000) }
-    private val fleet = Fleet(ctx).apply { catalog = World.CATALOG }
-    private val book = JobBook(ctx, LeaderStore(ctx, Leadership(ctx, {}, {})), fleet)
+    private val core = CoreParts()
     private var jobs = 0
 
-    private fun job(tasks: Int) = World.job(++jobs, tasks = tasks).let {
-        book.learn(it.id, JobRecord(it, 1_000_000, 0, 100), 1)
-        checkNotNull(book.find(it.id))
-    }
+    private fun job(tasks: Int) = core.learn(World.job(++jobs, tasks = tasks))
 
     @ParameterizedTest(name = "{0}: {1} accelerators in use, {2} more needed")
     @CsvSource(
@@ -41,13 +28,12 @@
     )
     fun `the emptiest machines are surplus as long as the others could do their work`(name: String, used: String, needed: Long, surplus: String) {
         val machines = used.split(' ').mapIndexed { i, n ->
-            val m = fleet.machine("i-$i")
-            fleet.describe(m, GroupKey("box", "a", false), "")
+            val m = core.machine("i-$i")
             val job = job(maxOf(1, n.toInt()))
-            repeat(n.toInt()) { book.place(job, it, m, it.toLong()) }
+            repeat(n.toInt()) { core.book.place(job, it, m, it.toLong()) }
             m
         }
-        Consolidation(fleet).refresh(machines, Resources(0, needed * 1000, 0))
+        Consolidation(core.fleet).refresh(machines, Resources(0, needed * 1000, 0))
         assertEquals(surplus, machines.indices.filter { machines[it].surplus }.joinToString(" "), name)
     }
 
--- a/src/test/kotlin/plankwall/WarmRoomTest.kt
+++ b/src/test/kotlin/plankwall/WarmRoomTest.kt
@@ -3,37 +3,21 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.Context
-import plankwall.core.Fleet
-import plankwall.core.JobBook
-import plankwall.core.LeaderStore
-import plankwall.core.Leadership
-import plankwall.core.Machine
 import plankwall.core.Room
 import plankwall.core.WarmRoom
 import plankwall.core.ZoneRule
-import plankwall.model.GroupKey
 import plankwall.model.Shape
-import plankwall.model.Tuning
+import plankwall.sim.CoreParts
 import plankwall.sim.World
-import plankwall.wire.JobRecord
-import java.util.Random
 
 /** A task may fetch its image on a cold machine now, or wait for a machine that has it. */
 class WarmRoomTest {
-    private val wallMs = 1_000_000L
-    private val ctx = Context(World.settings("n0", 3), Tuning(), 1, Random(1)).apply { time.advance(1000.0, wallMs) }
-    private val fleet = Fleet(ctx).apply { catalog = World.CATALOG }
-    private val book = JobBook(ctx, LeaderStore(ctx, Leadership(ctx, {}, {})), fleet)
-    private val warm = WarmRoom(ctx, Room(ctx, fleet))
+    private val core = CoreParts()
+    private val ctx = core.ctx
+    private val warm = WarmRoom(ctx, Room(ctx, core.fleet))
 
     private fun learn(number: Int, shape: Shape, gpus: Long, gb: Double, waitedS: Double = 0.0) =
-        World.job(number, shape, tasks = 1, gpus = gpus, runS = 60.0).copy(image = "image", imageGb = gb).let {
-            book.learn(it.id, JobRecord(it, wallMs - (waitedS * 1000).toLong(), 0, 100), 1)
-            checkNotNull(book.find(it.id))
-        }
-
-    private fun machine(name: String): Machine = fleet.machine(name).also { fleet.describe(it, GroupKey("box", "a", false), "") }
+        core.learn(World.job(number, shape, tasks = 1, gpus = gpus, runS = 60.0).copy(image = "image", imageGb = gb), waitedS)
 
     @ParameterizedTest(name = "{0}")
     @CsvSource(
@@ -45,10 +29,10 @@
         "'a replica is wanted at once', SERVICE, 40, 10, 0, false",
     )
     fun `waits for a warm machine only where that is clearly sooner`(name: String, shape: Shape, gb: Double, endsInS: Double, waitedS: Double, held: Boolean) {
-        val busy = machine("i-1")
-        book.place(learn(1, Shape.ARRAY, 4, gb), 0, busy, 1).runningSince = ctx.now - 60.0 + endsInS
-        busy.noteImage(checkNotNull(book.find("job-000001")).image, gb, ctx.now - 1)
-        val cold = machine("i-2")
+        val busy = core.machine("i-1")
+        core.book.place(learn(1, Shape.ARRAY, 4, gb), 0, busy, 1).runningSince = ctx.now - 60.0 + endsInS
+        busy.noteImage(checkNotNull(core.book.find("job-000001")).image, gb, ctx.now - 1)
+        val cold = core.machine("i-2")
         val job = learn(2, shape, 2, gb, waitedS)
         assertEquals(held, warm.comesSooner(job, cold, listOf(busy, cold), ZoneRule(job)), name)
         // One room is promised once.
--- a/src/test/kotlin/plankwall/WorkerDeskTest.kt
+++ b/src/test/kotlin/plankwall/WorkerDeskTest.kt
@@ -3,30 +3,21 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.Context
-import plankwall.core.Fleet
-import plankwall.core.JobBook
-import plankwall.core.LeaderStore
-import plankwall.core.Leadership
 import plankwall.core.StopCause
 import plankwall.core.WorkerDesk
 import plankwall.model.Shape
-import plankwall.model.Tuning
+import plankwall.sim.CoreParts
 import plankwall.sim.World
 import plankwall.wire.ExitCause
-import plankwall.wire.JobRecord
 import plankwall.wire.Report
 import plankwall.wire.TaskReport
 import plankwall.wire.TaskStage
-import java.util.Random
 
 /** What a worker is told about a gang task that ended, and whether the leader counts the task as gone. */
 class WorkerDeskTest {
-    private val ctx = Context(World.settings("n0", 3), Tuning(), 1, Random(1)).apply { time.advance(1000.0, 1_000_000) }
-    private val leadership = Leadership(ctx, {}, {})
-    private val fleet = Fleet(ctx).apply { catalog = World.CATALOG }
-    private val book = JobBook(ctx, LeaderStore(ctx, leadership), fleet)
-    private val desk = WorkerDesk(ctx, leadership, book, fleet)
+    private val core = CoreParts()
+    private val book = core.book
+    private val desk = WorkerDesk(core.ctx, core.leadership, book, core.fleet)
 
     private fun report(machine: String, seq: Long, tasks: List<TaskReport>) =
         Report(machine, "addr:$machine", "box", "a", false, 1, seq, 0, null, tasks)
@@ -43,10 +34,9 @@
     )
     fun `a gang task that waited in vain is started again`(cause: ExitCause, mate: String, orders: String, stays: Boolean) {
         val spec = World.job(1, Shape.GANG, tasks = 2)
-        book.learn(spec.id, JobRecord(spec, 1_000_000, 0, 100), 1)
-        val job = checkNotNull(book.find(spec.id))
+        val job = core.learn(spec)
         val placed = listOf("i-1", "i-2").mapIndexed { task, name ->
-            val m = fleet.machine(name)
+            val m = core.fleet.machine(name)
             desk.checkIn(report(name, 1, emptyList()))
             book.place(job, task, m, 7).apply { stored = true }
         }
--- /dev/null
+++ b/src/test/kotlin/plankwall/sim/CoreParts.kt
@@ -0,0 +1,34 @@
+package plankwall.sim
+
+import plankwall.core.Context
+import plankwall.core.Fleet
+import plankwall.core.Job
+import plankwall.core.JobBook
+import plankwall.core.LeaderStore
+import plankwall.core.Leadership
+import plankwall.core.Machine
+import plankwall.model.GroupKey
+import plankwall.model.JobSpec
+import plankwall.model.Tuning
+import plankwall.wire.JobRecord
+import java.util.Random
+
+/** The parts of a core that a table test needs, at a set moment and without a world around them. */
+class CoreParts {
+    val ctx = Context(World.settings("n0", 3), Tuning(), 1, Random(1)).apply { time.advance(1000.0, WALL_MS) }
+    val leadership = Leadership(ctx, {}, {})
+    val fleet = Fleet(ctx).apply { catalog = World.CATALOG }
+    val book = JobBook(ctx, LeaderStore(ctx, leadership), fleet)
+
+    fun learn(spec: JobSpec, waitedS: Double = 0.0): Job {
+        book.learn(spec.id, JobRecord(spec, WALL_MS - (waitedS * 1000).toLong(), 0, 100), 1)
+        return checkNotNull(book.find(spec.id))
+    }
+
+    fun machine(name: String): Machine = fleet.machine(name).also { fleet.describe(it, GROUP, "addr:$name") }
+
+    companion object {
+        val GROUP = GroupKey("box", "a", false)
+        private const val WALL_MS = 1_000_000L
+    }
+}
