--- a/src/main/kotlin/plankwall/cli/SettingsFile.kt
+++ b/src/main/kotlin/plankwall/cli/SettingsFile.kt
@@ -54,20 +54,27 @@
                 gangPeerS = amount(workers, "gang_peer_s", 5.0, 0.0, 3600.0),
                 cancelS = amount(workers, "cancel_s", 60.0, 1.0, 3600.0),
             ),
-            state = StateLimits(
-                rps = amount(state, "rps", null, 1.0, 1e6),
-                writeRps = amount(state, "write_rps", null, 1.0, 1e6),
-                valueKb = amount(state, "value_kb", null, 1.0, 64.0),
-                txnOps = amount(state, "txn_ops", null, 4.0, 1e4).toInt(),
-            ),
+            state = limits(state, "", null),
             cloud = CloudLimits(
                 rps = amount(cloud, "rps", null, 0.1, 1e6),
                 listLagS = amount(cloud, "list_lag_s", 0.0, 0.0, 3600.0),
             ),
             maxConnections = s.get("limits")?.let { amount(it, "max_connections", 1000.0, 20.0, 1e6).toInt() } ?: 1000,
+            stateNext = state.get("next")?.let {
+                if (!it.isObject) throw BadSettings("state.next: must be a table")
+                limits(it, "state.next.", limits(state, "", null).rps)
+            },
         )
     }
 
+    /** [rps] stands in where a later limit leaves the rate of requests as it is. */
+    private fun limits(t: JsonNode, prefix: String, rps: Double?) = StateLimits(
+        rps = amount(t, "rps", rps, 1.0, 1e6, prefix),
+        writeRps = amount(t, "write_rps", null, 1.0, 1e6, prefix),
+        valueKb = amount(t, "value_kb", null, 1.0, 64.0, prefix),
+        txnOps = amount(t, "txn_ops", null, 4.0, 1e4, prefix).toInt(),
+    )
+
     private fun peer(row: JsonNode): Peer {
         val a = address(row, "address")
         return Peer(text(row, "node"), text(row, "site"), a.host, a.port)
@@ -98,10 +105,10 @@
     private fun address(parent: JsonNode, key: String): Address =
         Address.parse(text(parent, key)) ?: throw BadSettings("$key: must be an address such as 10.0.0.1:8080")
 
-    private fun amount(parent: JsonNode, key: String, default: Double?, min: Double, max: Double): Double {
-        val node = parent.get(key) ?: return default ?: throw BadSettings("$key: is missing")
-        val value = if (node.isNumber) node.asDouble() else throw BadSettings("$key: must be a number")
-        if (value !in min..max) throw BadSettings("$key: $value must lie in $min..$max")
+    private fun amount(parent: JsonNode, key: String, default: Double?, min: Double, max: Double, prefix: String = ""): Double {
+        val node = parent.get(key) ?: return default ?: throw BadSettings("$prefix$key: is missing; must lie in $min..$max")
+        val value = if (node.isNumber) node.asDouble() else throw BadSettings("$prefix$key: must be a number in $min..$max")
+        if (value !in min..max) throw BadSettings("$prefix$key: $value must lie in $min..$max")
         return value
     }
 }
--- a/src/main/kotlin/plankwall/core/ArrivalRate.kt
+++ b/src/main/kotlin/plankwall/core/ArrivalRate.kt
@@ -12,14 +12,14 @@
 
     private class Bucket(val from: Double, var need: Resources)
 
-    /** Takes note of those of [jobs] that are new. Indices rise in the order in which jobs became known. */
+    /** Takes note of those of [jobs] that are new. Their indices rise in the order in which they became demand. */
     fun note(now: Double, jobs: List<Job>) {
         if (buckets.isEmpty() || now >= buckets.last().from + BUCKET_S) buckets.addLast(Bucket(now, Resources.NONE))
         while (buckets.size > BUCKETS) buckets.removeFirst()
         val newest = seenIx
         for (job in jobs) {
-            if (job.ix.value <= newest) continue
-            seenIx = maxOf(seenIx, job.ix.value)
+            if (job.demandIx <= newest) continue
+            seenIx = maxOf(seenIx, job.demandIx)
             buckets.last().need += job.spec.need * job.spec.tasks
         }
     }
--- a/src/main/kotlin/plankwall/core/Context.kt
+++ b/src/main/kotlin/plankwall/core/Context.kt
@@ -70,6 +70,9 @@
     private var left = perSecond
     private var at = 0.0
 
+    /** The most that can be taken at once. */
+    val burst: Int get() = perSecond.toInt()
+
     fun available(): Double {
         left = minOf(perSecond, left + (time.now - at) * perSecond)
         at = time.now
--- a/src/main/kotlin/plankwall/core/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/Estimator.kt
@@ -34,7 +34,7 @@
             // gang, which needs it on several machines at once, never.
             if (ends.isEmpty() || job.isGangOfSeveral) return now
             val newIn = newMachineIn(job, type)
-            if (ctx.time.wallMs - job.submittedMs > newIn * 1000 * TRUST) return now
+            if (ctx.time.wallMs - job.readyMs > newIn * 1000 * TRUST) return now
             val limit = newIn - machine.fetchWait(job.image, job.spec.imageGb, ctx.now)
             var sum = now
             for ((endIn, need) in ends) if (endIn < limit) sum += need
--- a/src/main/kotlin/plankwall/core/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/FrontDesk.kt
@@ -31,14 +31,13 @@
     private val log = LoggerFactory.getLogger("front")
     private var open = 0
     private val ledger = JobLedger(ctx, onOver)
+    private val finder = JobFinder(ctx, ledger)
+    private val valueBytes = (ctx.settings.stateTight.valueKb * 1024).toInt()
 
     /** A node's part of the common rate. The users do not come in equal parts, so it is more than the equal one. */
     private val calls = Budget(ctx.time, ctx.settings.state.rps * PART_OF_RATE / ctx.settings.nodes * UNEVEN)
 
-    fun isLive(id: String): Boolean = ledger.withdrawn(id) != null
-    private val finals = object : LinkedHashMap<String, FinalRecord>(16, 0.75f, true) {
-        override fun removeEldestEntry(eldest: Map.Entry<String, FinalRecord>): Boolean = size > MAX_FINALS
-    }
+    fun isLive(id: String): Boolean = ledger.isLive(id)
 
     private inner class Visit(val request: RequestId) {
         private var answered = false
@@ -54,9 +53,14 @@
 
         fun later(why: String) = answer(503, JobCodec.error(why), 1)
 
+        fun unread() = later("the state service can't be read")
+
         fun accepted(status: Int, view: JobView) = answer(status, JobCodec.accepted(view))
     }
 
+    /** Why a submission can't be taken, whatever the store says of other jobs. */
+    private class Refusal(val status: Int, val reason: String)
+
     /** Admits a request if there is room and the store can be reached; else it is answered at once. */
     private fun visit(request: RequestId, stateCalls: Int): Visit? {
         open++
@@ -74,54 +78,103 @@
     }
 
     fun submit(request: RequestId, spec: JobSpec) {
-        finals[spec.id]?.let {
+        finder.ended(spec.id)?.let {
             open++
             Visit(request).accepted(200, finalView(spec.id, it))
             return
         }
         val visit = visit(request, 1) ?: return
-        val catalog = market.catalog
+        val record = JobRecord(spec, ctx.time.wallMs, 0, JobBook.pageSize(ctx.settings.stateTight.valueKb))
         // Judged once, by the catalogue of this moment: one that arrives during the look-up must not turn
         // "not known yet" into "can never run".
-        val refusal = if (catalog == null) null else judge(spec, catalog)
-        if (catalog == null || refusal != null) {
-            // What was accepted once stays known, whatever is thought of it now: look before refusing.
-            lookUp(spec.id) { found ->
-                when (found) {
-                    is Found.Unreadable -> visit.later("the state service can't be read")
-                    is Found.Final -> visit.accepted(200, finalView(spec.id, found.record))
-                    is Found.Live -> visit.accepted(200, liveView(found))
-                    Found.Absent ->
-                        if (refusal == null) visit.later("the machine types are not known yet") else visit.answer(422, JobCodec.error(refusal))
-                }
-            }
-            return
+        val catalog = market.catalog
+        val refusal = when {
+            catalog == null -> Refusal(503, "the machine types are not known yet")
+            StateCodec.sizeOf(record) > valueBytes -> Refusal(400, "the description is too long to be kept")
+            else -> judge(spec, catalog)?.let { Refusal(422, it) }
         }
-        val pageSize = JobBook.pageSize(ctx.settings.state.valueKb)
-        val record = JobRecord(spec, ctx.time.wallMs, 0, pageSize)
-        if (StateCodec.sizeOf(record) > ctx.settings.state.valueKb * 1024) {
-            visit.answer(400, JobCodec.error("the description is too long to be kept"))
+        if (refusal != null) refuse(visit, spec.id, refusal) else whenAccepted(visit, spec) { store(visit, record) }
+    }
+
+    /** What was accepted once stays known, whatever is thought of it now: looked up before it is refused. */
+    private fun refuse(visit: Visit, id: String, refusal: Refusal) = finder.lookUp(id) { found ->
+        when {
+            found != Found.Absent -> answerKnown(visit, id, found)
+            refusal.status == 503 -> visit.later(refusal.reason)
+            else -> visit.answer(refusal.status, JobCodec.error(refusal.reason))
+        }
+    }
+
+    /**
+     * Goes on once every job that [spec] names is known to have been accepted. This node's copy may be behind another
+     * node's acceptance, so "never accepted" is said only after reads that began later than the request: of the live
+     * jobs, shared with all who wait, and of the ends of those that are not among them.
+     */
+    private fun whenAccepted(visit: Visit, spec: JobSpec, then: () -> Unit) {
+        if (finder.unheardOf(spec.dependencies).isEmpty()) {
+            then()
             return
         }
+        ledger.whenFresh { fresh ->
+            val names = finder.unheardOf(spec.dependencies)
+            when {
+                !fresh -> visit.unread()
+                !affordable(names.size) -> visit.tooMany()
+                else -> finder.readEnds(names) { without ->
+                    when {
+                        without == null -> visit.unread()
+                        without.isEmpty() -> then()
+                        else -> refuse(visit, spec.id, Refusal(422, "awaits: ${without.first()} was never accepted"))
+                    }
+                }
+            }
+        }
+    }
+
+    /** One that names more than the whole budget is let through when it is full, or it would be refused for ever. */
+    private fun affordable(reads: Int): Boolean =
+        reads == 0 || calls.take(minOf(reads, calls.burst)).also { if (it) calls.spend((reads - calls.burst).coerceAtLeast(0)) }
+
+    private fun store(visit: Visit, record: JobRecord) {
+        val spec = record.spec
         val guards = listOf(Guard(Keys.job(spec.id), 0), Guard(Keys.final(spec.id), 0))
         ctx.out.state(StateOp.Txn(guards, listOf(Write.Put(Keys.job(spec.id), record)))) { result ->
             when (result) {
                 is StateResult.Committed -> {
-                    log.info("job {} accepted: {} tasks of {} for {}", spec.id, spec.tasks, spec.jobClass, spec.team)
+                    log.info("job {} accepted: {} tasks of {} for {}, after {}", spec.id, spec.tasks, spec.jobClass, spec.team, spec.dependencies)
                     visit.accepted(201, JobView(spec.id, JobStage.PENDING, 0, 0))
                 }
                 // Known already, or an earlier unanswered try of the same submission went through.
-                is StateResult.Conflict -> answerKnown(visit, spec.id)
+                is StateResult.Conflict -> finder.lookUp(spec.id) { answerKnown(visit, spec.id, it) }
+                StateResult.Rejected -> {
+                    log.warn("job {} refused for good by the state service: {} bytes", spec.id, StateCodec.sizeOf(record))
+                    visit.answer(400, JobCodec.error("the description is too long to be kept"))
+                }
                 else -> visit.later("the state service did not confirm")
             }
         }
     }
 
-    private fun answerKnown(visit: Visit, id: String) = lookUp(id) { found ->
-        when (found) {
-            is Found.Final -> visit.accepted(200, finalView(id, found.record))
-            is Found.Live -> visit.accepted(200, liveView(found))
-            else -> visit.later("the state service can't be read")
+    private fun answerKnown(visit: Visit, id: String, found: Found) = when (found) {
+        is Found.Final -> visit.accepted(200, finalView(id, found.record))
+        is Found.Live -> answerLive(visit, id, found.record)
+        else -> visit.unread()
+    }
+
+    /** The state of a live job, which another node may already have called withdrawn for the sake of one that it needs. */
+    private fun answerLive(visit: Visit, id: String, record: JobRecord) {
+        when {
+            record.withdrawnMs > 0 -> visit.accepted(200, withdrawnView(id))
+            record.spec.dependencies.isEmpty() -> visit.accepted(200, JobView(id, JobStage.PENDING, 0, 0))
+            else -> ledger.whenFresh { fresh ->
+                when {
+                    !fresh -> visit.unread()
+                    !ledger.isLive(id) -> finder.readFinal(id) { if (it is Found.Final) answerKnown(visit, id, it) else visit.unread() }
+                    else -> settle(visit, id) { withdrawn ->
+                        visit.accepted(200, if (withdrawn) withdrawnView(id) else JobView(id, JobStage.PENDING, 0, 0))
+                    }
+                }
+            }
         }
     }
 
@@ -136,45 +189,65 @@
     fun tick() = ledger.tick()
 
     fun show(request: RequestId, id: String) {
-        finals[id]?.let {
+        finder.ended(id)?.let {
             ctx.out.answer(request, 200, JobCodec.view(finalView(id, it)))
             return
         }
         val visit = visit(request, 0) ?: return
         ledger.whenFresh { fresh ->
-            val withdrawn = ledger.withdrawn(id)
             when {
-                !fresh -> visit.later("the state service can't be read")
-                withdrawn == null -> showOver(visit, id)
-                withdrawn -> visit.answer(200, JobCodec.view(JobView(id, JobStage.WITHDRAWN, 0, 0)))
-                else -> visit.answer(200, JobCodec.view(progressOf(id)))
+                !fresh -> visit.unread()
+                !ledger.isLive(id) -> showOver(visit, id)
+                else -> settle(visit, id) { withdrawn ->
+                    visit.answer(200, JobCodec.view(if (withdrawn) withdrawnView(id) else progressOf(id)))
+                }
+            }
+        }
+    }
+
+    /**
+     * Says whether the live job [id] is withdrawn. That follows from the records of the jobs it needs, so no node has to
+     * wait for the leader to have written it; but where one of them is over and nobody here knows how, that is read first.
+     */
+    private fun settle(visit: Visit, id: String, then: (withdrawn: Boolean) -> Unit) {
+        val names = finder.unsettled(id)
+        when {
+            !affordable(names.size) -> visit.tooMany()
+            else -> finder.readEnds(names) { without ->
+                if (without == null) {
+                    visit.unread()
+                } else {
+                    finder.unsettled(id)
+                    then(ledger.isWithdrawn(id))
+                }
             }
         }
     }
 
     /** A job that is not live any more, or never was. A job ends in one transaction, so its end can be read by now. */
     private fun showOver(visit: Visit, id: String) {
-        val known = finals[id]
+        val known = finder.ended(id)
         when {
             known != null -> visit.answer(200, JobCodec.view(finalView(id, known)))
             !calls.take(1) -> visit.tooMany()
-            else -> readFinal(id) { found ->
+            else -> finder.readFinal(id) { found ->
                 when (found) {
                     is Found.Final -> visit.answer(200, JobCodec.view(finalView(id, found.record)))
                     Found.Absent -> visit.answer(404, JobCodec.error("no such job"))
-                    else -> visit.later("the state service can't be read")
+                    else -> visit.unread()
                 }
             }
         }
     }
 
     private fun progressOf(id: String): JobView {
-        val p = progress(id) ?: return JobView(id, JobStage.PENDING, 0, 0)
-        return JobView(id, if (p.running > 0) JobStage.RUNNING else JobStage.PENDING, p.done, p.running)
+        val waitsFor = ledger.openOf(id)
+        val p = progress(id) ?: return JobView(id, JobStage.PENDING, 0, 0, waitsFor)
+        return JobView(id, if (p.running > 0) JobStage.RUNNING else JobStage.PENDING, p.done, p.running, waitsFor)
     }
 
     fun withdraw(request: RequestId, id: String) {
-        finals[id]?.let {
+        finder.ended(id)?.let {
             open++
             Visit(request).accepted(200, finalView(id, it))
             return
@@ -184,21 +257,20 @@
     }
 
     private fun tryWithdraw(visit: Visit, id: String, tries: Int) {
-        lookUp(id) { found ->
+        finder.lookUp(id) { found ->
             when (found) {
-                is Found.Unreadable -> visit.later("the state service can't be read")
+                is Found.Unreadable -> visit.unread()
                 is Found.Final -> visit.accepted(200, finalView(id, found.record))
                 Found.Absent -> visit.answer(404, JobCodec.error("no such job"))
                 is Found.Live -> if (found.record.withdrawnMs > 0) {
-                    visit.accepted(200, liveView(found))
+                    visit.accepted(200, withdrawnView(id))
                 } else {
-                    val changed = found.record.copy(withdrawnMs = ctx.time.wallMs)
-                    val txn = StateOp.Txn(listOf(Guard(Keys.job(id), found.version)), listOf(Write.Put(Keys.job(id), changed)))
+                    val txn = StateOp.Txn(listOf(Guard(Keys.job(id), found.version)), listOf(Write.Put(Keys.job(id), withdrawn(found.record))))
                     ctx.out.state(txn) { result ->
                         when {
                             result is StateResult.Committed -> {
                                 log.info("job {} withdrawn by its user", id)
-                                visit.accepted(200, JobView(id, JobStage.WITHDRAWN, 0, 0))
+                                visit.accepted(200, withdrawnView(id))
                             }
                             result is StateResult.Conflict && tries > 1 -> tryWithdraw(visit, id, tries - 1)
                             else -> visit.later("the state service did not confirm")
@@ -209,48 +281,25 @@
         }
     }
 
-    private sealed interface Found {
-        data object Unreadable : Found
-
-        data object Absent : Found
-
-        class Live(val record: JobRecord, val version: Long) : Found
-
-        class Final(val record: FinalRecord) : Found
-    }
-
     /**
-     * Reads the live record, then the final one. A job moves from the first to the second in one transaction, so one
-     * that is in neither when read in this order had not been accepted when the first read was made.
+     * The record as withdrawn. One that was stored while values could be larger must still be written: what only a start
+     * would need is left out of it then.
      */
-    private fun lookUp(id: String, then: (Found) -> Unit) = ctx.out.state(StateOp.Get(Keys.job(id))) { live ->
-        val item = (live as? StateResult.Item)?.item
-        val record = item?.value as? JobRecord
-        when {
-            live !is StateResult.Item -> then(Found.Unreadable)
-            item != null && record != null -> then(Found.Live(record, item.version))
-            else -> readFinal(id, then)
-        }
-    }
-
-    private fun readFinal(id: String, then: (Found) -> Unit) = ctx.out.state(StateOp.Get(Keys.final(id))) { final ->
-        val over = (final as? StateResult.Item)?.item?.value as? FinalRecord
-        if (over != null) finals[id] = over
-        then(if (final !is StateResult.Item) Found.Unreadable else if (over != null) Found.Final(over) else Found.Absent)
+    private fun withdrawn(record: JobRecord): JobRecord {
+        val whole = record.copy(withdrawnMs = ctx.time.wallMs)
+        if (StateCodec.sizeOf(whole) <= valueBytes) return whole
+        log.info("job {}: its record of {} bytes is withdrawn without what a start would need", record.spec.id, StateCodec.sizeOf(whole))
+        return whole.copy(spec = record.spec.copy(types = null, dependencies = emptyList()))
     }
 
     private fun finalView(id: String, f: FinalRecord) = JobView(id, f.stage, f.done, 0)
 
-    private fun liveView(found: Found.Live): JobView {
-        val stage = if (found.record.withdrawnMs > 0) JobStage.WITHDRAWN else JobStage.PENDING
-        return JobView(found.record.spec.id, stage, 0, 0)
-    }
+    private fun withdrawnView(id: String) = JobView(id, JobStage.WITHDRAWN, 0, 0)
 
     private companion object {
         const val MAX_OPEN = 200
         const val PART_OF_RATE = 0.3
         const val UNEVEN = 2.0
-        const val MAX_FINALS = 5_000
         const val WITHDRAW_TRIES = 3
     }
 }
--- a/src/main/kotlin/plankwall/core/Growth.kt
+++ b/src/main/kotlin/plankwall/core/Growth.kt
@@ -18,13 +18,13 @@
     private val other = ArrivalRate()
 
     fun expect(live: Collection<Job>, leadS: Double): Growth {
-        val (forSpot, forOther) = live.filter(counts).partition { it.spec.spot }
+        val (forSpot, forOther) = live.filter { it.ready && counts(it) }.partition { it.spec.spot }
         return Growth(net(spot, forSpot, leadS), net(other, forOther, leadS))
     }
 
     private fun net(rate: ArrivalRate, jobs: List<Job>, leadS: Double): Resources {
         // What was there at the take-over did not arrive since.
-        rate.note(ctx.now, jobs.filter { it.learnedAt > since + 1.0 })
+        rate.note(ctx.now, jobs.filter { it.readyAt > since + 1.0 })
         val leaving = jobs.flatMap { it.placements.values }
             .filter { it.job.spec.shape != Shape.SERVICE && it.runningSince > 0 && it.runningSince + it.job.spec.estimateS < ctx.now + leadS }
             .fold(Resources.NONE) { sum, p -> sum + p.job.spec.need }
--- /dev/null
+++ b/src/main/kotlin/plankwall/core/JobFinder.kt
@@ -0,0 +1,75 @@
+package plankwall.core
+
+import plankwall.wire.FinalRecord
+import plankwall.wire.JobRecord
+import plankwall.wire.Keys
+import plankwall.wire.StateOp
+import plankwall.wire.StateResult
+
+/** What the store says of a job. */
+sealed interface Found {
+    data object Unreadable : Found
+
+    data object Absent : Found
+
+    class Live(val record: JobRecord, val version: Long) : Found
+
+    class Final(val record: FinalRecord) : Found
+}
+
+/** Looks jobs up in the store. Only what never changes is remembered: how jobs ended. */
+class JobFinder(private val ctx: Context, private val ledger: JobLedger) {
+    private val finals = object : LinkedHashMap<String, FinalRecord>(16, 0.75f, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<String, FinalRecord>): Boolean = size > MAX_FINALS
+    }
+
+    fun ended(id: String): FinalRecord? = finals[id]
+
+    /**
+     * Reads the live record, then the final one. A job moves from the first to the second in one transaction, so one
+     * that is in neither when read in this order had not been accepted when the first read was made.
+     */
+    fun lookUp(id: String, then: (Found) -> Unit) = ctx.out.state(StateOp.Get(Keys.job(id))) { live ->
+        val item = (live as? StateResult.Item)?.item
+        val record = item?.value as? JobRecord
+        when {
+            live !is StateResult.Item -> then(Found.Unreadable)
+            item != null && record != null -> then(Found.Live(record, item.version))
+            else -> readFinal(id, then)
+        }
+    }
+
+    fun readFinal(id: String, then: (Found) -> Unit) = ctx.out.state(StateOp.Get(Keys.final(id))) { final ->
+        val over = (final as? StateResult.Item)?.item?.value as? FinalRecord
+        if (over != null) finals[id] = over
+        then(if (final !is StateResult.Item) Found.Unreadable else if (over != null) Found.Final(over) else Found.Absent)
+    }
+
+    /** Those of [names] that are not surely accepted, going by what this node has read so far. */
+    fun unheardOf(names: List<String>): List<String> = names.filter { !ledger.isLive(it) && it !in finals }
+
+    /** What must be read before it can be said whether the live job [id] is withdrawn through one that it needs. */
+    fun unsettled(id: String): List<String> {
+        if (ledger.isWithdrawn(id)) return emptyList()
+        val (known, unknown) = ledger.unsettled(id).partition { it in finals }
+        known.forEach { name -> finals[name]?.let { ledger.settle(name, it.stage) } }
+        return if (ledger.isWithdrawn(id)) emptyList() else unknown
+    }
+
+    /** Reads how [names] ended, all at once; [then] learns which had no end, or null if one could not be read. */
+    fun readEnds(names: List<String>, then: (without: List<String>?) -> Unit) {
+        var left = names.size
+        var readable = true
+        val without = ArrayList<String>()
+        for (name in names) readFinal(name) { found ->
+            if (found is Found.Unreadable) readable = false
+            if (found is Found.Absent) without.add(name)
+            if (--left == 0) then(if (readable) without else null)
+        }
+        if (names.isEmpty()) then(without)
+    }
+
+    private companion object {
+        const val MAX_FINALS = 5_000
+    }
+}
--- a/src/main/kotlin/plankwall/core/JobLedger.kt
+++ b/src/main/kotlin/plankwall/core/JobLedger.kt
@@ -1,6 +1,7 @@
 package plankwall.core
 
 import org.slf4j.LoggerFactory
+import plankwall.model.JobStage
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
 import plankwall.wire.StateItem
@@ -16,8 +17,8 @@
 class JobLedger(private val ctx: Context, private val onOver: (String) -> Unit) {
     private val log = LoggerFactory.getLogger("front")
 
-    /** By id of a live job: whether it is withdrawn. */
-    private val live = HashMap<String, Boolean>()
+    private val live = HashSet<String>()
+    private val dependencies = Dependencies()
     private var revision = UNREAD
     private var waiting = ArrayList<(Boolean) -> Unit>()
     private var reading = false
@@ -30,8 +31,22 @@
         pump()
     }
 
-    /** Null if the job is not live. */
-    fun withdrawn(id: String): Boolean? = live[id]
+    fun isLive(id: String): Boolean = id in live
+
+    /** Whether a live job is withdrawn, by its user or through a job that it needs, as far as their ends are known here. */
+    fun isWithdrawn(id: String): Boolean = dependencies.isWithdrawn(id)
+
+    /** Jobs that [id] needs and that are over: until it is known how, nobody can say whether [id] is withdrawn. */
+    fun unsettled(id: String): Set<String> = dependencies.unsettled(id) { it !in live }
+
+    /** What a live job still waits for, as far as known here. */
+    fun openOf(id: String): List<String> = dependencies.openOf(id).toList()
+
+    /** How a job that others need has ended. */
+    fun settle(id: String, stage: JobStage) {
+        if (stage == JobStage.DONE) dependencies.done(id) else dependencies.withdrawn(id)
+        dependencies.over(id)
+    }
 
     fun tick() {
         // Kept warm, so that the first question after a quiet time does not find the changes gone.
@@ -44,12 +59,15 @@
         nextRead = ctx.now + gapS
         val served = waiting
         waiting = ArrayList()
-        if (revision == UNREAD) readAll(null, HashMap(), 0L, served) else readChanges(served)
+        if (revision == UNREAD) readAll(null, ArrayList(), 0L, served) else readChanges(served)
     }
 
     private fun readChanges(served: List<(Boolean) -> Unit>) = ctx.out.state(StateOp.Changes(Keys.JOBS, revision)) { result ->
         if (result is StateResult.News) {
-            for (e in result.events) note(e.key, e.value as? JobRecord, e.value == null)
+            for (e in result.events) {
+                val record = e.value as? JobRecord
+                if (record != null) keep(Keys.jobId(e.key), record) else if (e.value == null) drop(Keys.jobId(e.key))
+            }
             revision = maxOf(revision, result.revision)
         } else if (result == StateResult.TooOld) {
             revision = UNREAD
@@ -57,29 +75,32 @@
         finish(served, result is StateResult.News)
     }
 
-    private fun note(key: String, record: JobRecord?, removed: Boolean) {
-        val id = Keys.jobId(key)
-        if (record != null) {
-            live[id] = record.withdrawnMs > 0
-        } else if (removed && live.remove(id) != null) {
-            onOver(id)
-        }
+    private fun keep(id: String, record: JobRecord) {
+        live.add(id)
+        dependencies.add(id, record.spec.dependencies)
+        if (record.withdrawnMs > 0) dependencies.withdrawn(id)
+    }
+
+    private fun drop(id: String) {
+        dependencies.over(id)
+        if (live.remove(id)) onOver(id)
     }
 
     /** Pages of one reading are of different moments; the changes since the first make them one whole. */
-    private fun readAll(after: String?, found: HashMap<String, Boolean>, first: Long, served: List<(Boolean) -> Unit>) {
+    private fun readAll(after: String?, found: ArrayList<StateItem>, first: Long, served: List<(Boolean) -> Unit>) {
         ctx.out.state(StateOp.Range(Keys.JOBS, after, PAGE)) { result ->
             if (result !is StateResult.Items) {
                 finish(served, false)
                 return@state
             }
-            result.items.forEach { item -> keep(item, found) }
+            found.addAll(result.items)
             val from = if (after == null) result.revision else first
             if (result.more && result.items.isNotEmpty()) {
                 readAll(result.items.last().key, found, from, served)
             } else {
                 live.clear()
-                live.putAll(found)
+                dependencies.clear()
+                found.forEach { item -> (item.value as? JobRecord)?.let { keep(Keys.jobId(item.key), it) } }
                 revision = from
                 log.debug("{} live jobs read at {}", live.size, from)
                 readChanges(served)
@@ -87,10 +108,6 @@
         }
     }
 
-    private fun keep(item: StateItem, found: HashMap<String, Boolean>) {
-        (item.value as? JobRecord)?.let { found[Keys.jobId(item.key)] = it.withdrawnMs > 0 }
-    }
-
     private fun finish(served: List<(Boolean) -> Unit>, fresh: Boolean) {
         reading = false
         served.forEach { it(fresh) }
--- a/src/main/kotlin/plankwall/core/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/Jobs.kt
@@ -8,6 +8,7 @@
 import plankwall.model.Shape
 import plankwall.model.TeamIx
 import plankwall.wire.JobProgress
+import plankwall.wire.Keys
 import plankwall.wire.TaskStage
 import java.util.BitSet
 
@@ -56,14 +57,32 @@
     }
 }
 
-/** A slice of a job's tasks that is stored under one key. */
+/** A slice of a job's tasks that is stored under one key: a page, or a part of one that was divided. */
 class Page(val number: Int) {
+    var from = 0
+        private set
+    var to = 0
+        private set
     var version = 0L
     var dirty = false
     var inFlight = false
 
     /** After an answer that did not come, the stored version is unknown and is read before the next write. */
     var reread = false
+
+    /** 0, or how many tasks each of the keys holds among which this page is divided. */
+    var partSize = 0
+
+    /** The size at which the store refused it for good; and that it was refused among others, so is to be tried alone. */
+    var refusedBytes = 0
+    var alone = false
+
+    val tasks: Int get() = to - from
+
+    fun cover(from: Int, to: Int) {
+        this.from = from
+        this.to = to
+    }
 }
 
 /**
@@ -86,6 +105,28 @@
     var withdrawn = false
     var withdrawnMs = 0L
     var finishing = false
+
+    /** Withdrawn for the sake of a job that it needs: that follows from what is stored already. */
+    var withdrawnThrough = false
+
+    /** All jobs that it needs are done. Until then it is no demand, and nothing of it starts. */
+    var ready = false
+
+    /** From when on its waiting counts: its submission, or the end of the last job that it needs. */
+    var readyMs = submittedMs
+    var readyAt = learnedAt
+
+    /** Rises in the order in which jobs became demand. */
+    var demandIx = NO_DEMAND
+
+    /** Its own priority, or the higher one of a job that needs it; likewise the time by which it should be over. */
+    var priority = spec.priority
+        set(value) {
+            field = value
+            fit = fitFor(value)
+        }
+    val ownDueMs: Long = spec.deadlineS?.let { submittedMs + (it * 1000).toLong() } ?: Long.MAX_VALUE
+    var dueMs = ownDueMs
     val done = BitSet(spec.tasks)
     var doneCount = 0
 
@@ -112,13 +153,35 @@
     /** A gang of one has nobody to wait for and is treated as any other task. */
     val isGangOfSeveral: Boolean get() = isGang && spec.tasks > 1
 
-    val fit = FitKey(spec.need, spec.types, spec.zone, spec.spot, spec.priority)
+    var fit = fitFor(spec.priority)
+        private set
+
+    private fun fitFor(priority: Priority) = FitKey(spec.need, spec.types, spec.zone, spec.spot, priority)
 
     /** The zone in which room for a gang is being gathered, and since when. */
     var gatherZone: String? = null
     var gatherSince = 0.0
 
-    fun pageOf(task: Int): Page = pages.getOrPut(task / pageSize) { Page(task / pageSize) }
+    fun pageOf(task: Int): Page {
+        val whole = page(task / pageSize)
+        val part = if (whole.partSize > 0) task % pageSize / whole.partSize else 0
+        return if (part == 0) whole else page(Keys.part(whole.number, part))
+    }
+
+    /** The page with the key's [number]; a part whose page is not divided covers nothing. */
+    fun page(number: Int): Page = pages.getOrPut(number) {
+        Page(number).apply {
+            val whole = Keys.wholeOf(number)
+            val from = whole * pageSize
+            if (number == whole) cover(from, minOf(from + pageSize, spec.tasks)) else pages[whole]?.let { coverPart(it, from) }
+        }
+    }
+
+    private fun Page.coverPart(whole: Page, from: Int) {
+        if (whole.partSize == 0) return
+        val start = from + Keys.partOf(number) * whole.partSize
+        cover(start, minOf(start + whole.partSize, from + pageSize, spec.tasks))
+    }
 
     fun markDone(task: Int) {
         if (task >= spec.tasks || done[task]) return
@@ -133,4 +196,8 @@
         get() = JobProgress(spec.id, doneCount, placements.values.count { it.runningSince > 0.0 && !it.ended })
 
     val complete: Boolean get() = doneCount == spec.tasks
+
+    private companion object {
+        const val NO_DEMAND = -1
+    }
 }
--- a/src/main/kotlin/plankwall/core/LeaderStore.kt
+++ b/src/main/kotlin/plankwall/core/LeaderStore.kt
@@ -1,7 +1,9 @@
 package plankwall.core
 
+import org.slf4j.LoggerFactory
 import plankwall.wire.Guard
 import plankwall.wire.Keys
+import plankwall.wire.StateCodec
 import plankwall.wire.StateItem
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
@@ -16,23 +18,28 @@
     var active = true
         private set
 
+    private val log = LoggerFactory.getLogger("store")
+    val limits = StoreLimits(ctx.settings)
+
     // The other nodes' submissions and withdrawals need a part of the common rate.
-    private val writes = Budget(ctx.time, ctx.settings.state.writeRps * 0.75)
+    private val writes = Budget(ctx.time, ctx.settings.stateTight.writeRps * 0.75)
     /** The newest revision that a write of this leader made; no other leader can have, or later get, a token of it. */
     var lastRevision = epoch
         private set
-    private val calls = Budget(ctx.time, ctx.settings.state.rps * 0.4)
+    private val calls = Budget(ctx.time, ctx.settings.stateTight.rps * 0.4)
 
     fun close() {
         active = false
     }
 
     /** Below this [room] only what somebody waits for is written. */
-    val scarce: Int = (ctx.settings.state.writeRps * 0.25).toInt()
+    val scarce: Int = (ctx.settings.stateTight.writeRps * 0.25).toInt()
 
     /** How many puts and deletes may be sent now. */
     fun room(): Int = if (leadership.mayWrite && calls.available() >= 1) writes.available().toInt() else 0
 
+    fun mayRead(): Boolean = calls.available() >= 1
+
     fun write(guards: List<Guard>, changes: List<Write>, then: (StateResult) -> Unit) {
         writes.spend(changes.size)
         calls.spend(1)
@@ -42,11 +49,23 @@
                 leadership.yield("the leader key is no longer ours")
             } else {
                 if (result is StateResult.Committed) lastRevision = maxOf(lastRevision, result.revision)
+                if (result == StateResult.Rejected) learnFrom(changes)
                 then(result)
             }
         }
     }
 
+    /** What was refused for good is not sent again as it is; whoever wrote it finds the way round by the new limits. */
+    private fun learnFrom(refused: List<Write>) {
+        val sizes = refused.filterIsInstance<Write.Put>().associate { it.key to StateCodec.sizeOf(it.value) }
+        val largest = sizes.maxByOrNull { it.value }
+        limits.rejected(refused.size, largest?.value ?: 0)
+        log.warn(
+            "refused for good: {} changes, the largest {} with {} bytes; from now on at most {} changes, values up to {} bytes",
+            refused.size, largest?.key, largest?.value, limits.txnOps, limits.valueBytes,
+        )
+    }
+
     fun read(key: String, then: (StateResult) -> Unit) {
         calls.spend(1)
         ctx.out.state(StateOp.Get(key)) { if (active) then(it) }
--- a/src/main/kotlin/plankwall/core/Leadership.kt
+++ b/src/main/kotlin/plankwall/core/Leadership.kt
@@ -4,6 +4,7 @@
 import plankwall.wire.Guard
 import plankwall.wire.Keys
 import plankwall.wire.LeaderRecord
+import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
 import plankwall.wire.StateItem
 import plankwall.wire.StateOp
@@ -57,6 +58,12 @@
     /** May answer workers: bounded, so that a successor can tell when we have surely stopped. */
     val mayAnswer: Boolean get() = leading && ctx.now < validUntil + ctx.outageGraceS
 
+    /** Every other node has shown that it runs this version or a later one. */
+    val allCurrent: Boolean get() = ctx.settings.peers.all { (peers[it.node]?.first?.level ?: 0) >= PeerCodec.LEVEL }
+
+    /** A node of an older version is about: it will be replaced soon, so it had better not take the lead. */
+    private val olderAbout: Boolean get() = livePeers().any { it.level < PeerCodec.LEVEL }
+
     val stateReachable: Boolean get() = failures < 2
 
     /** No leader before us can have renewed a worker's lease after this moment. */
@@ -93,7 +100,7 @@
         ctx.out.state(StateOp.Get(Keys.LEADER)) { result ->
             polling = false
             noteHealth(result)
-            nextPoll = ctx.now + 0.35 + ctx.random.nextDouble() * 0.3
+            nextPoll = ctx.now + if (olderAbout) EAGER_S else 0.35 + ctx.random.nextDouble() * 0.3
             if (result is StateResult.Item) noteLeader(result.item)
         }
     }
@@ -177,6 +184,11 @@
     }
 
     fun status(strayWorkers: Int) = PeerStatus(
-        ctx.settings.node, ctx.incarnation, epochSeen, leading, resignedEpoch, stateReachable, strayWorkers,
+        ctx.settings.node, ctx.incarnation, epochSeen, leading, resignedEpoch, stateReachable, strayWorkers, PeerCodec.LEVEL,
     )
+
+    private companion object {
+        /** Below the older version's wait, so that the lead passes to this version the first time it changes hands. */
+        const val EAGER_S = 0.12
+    }
 }
--- a/src/main/kotlin/plankwall/core/Market.kt
+++ b/src/main/kotlin/plankwall/core/Market.kt
@@ -1,7 +1,6 @@
 package plankwall.core
 
 import plankwall.model.Catalog
-import plankwall.wire.CatalogRecord
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
 import plankwall.wire.Keys
@@ -23,8 +22,8 @@
     fun tick() {
         if (catalog != null || asking || ctx.now < nextTry) return
         asking = true
-        ctx.out.state(StateOp.Get(Keys.CATALOG)) { result ->
-            val stored = ((result as? StateResult.Item)?.item?.value as? CatalogRecord)?.catalog
+        ctx.out.state(StateOp.Range(Keys.CATALOG, null, MAX_KEYS)) { result ->
+            val stored = (result as? StateResult.Items)?.let { Divided.catalog(it.items) }
             if (stored != null) {
                 settled()
                 if (catalog == null) catalog = stored
@@ -44,4 +43,8 @@
         asking = false
         nextTry = ctx.now + 0.5 + ctx.random.nextDouble()
     }
+
+    private companion object {
+        const val MAX_KEYS = 200
+    }
 }
--- a/src/main/kotlin/plankwall/core/Placer.kt
+++ b/src/main/kotlin/plankwall/core/Placer.kt
@@ -61,11 +61,15 @@
     }
 
     private fun pending(): List<Job> = book.live
-        .filter { !it.withdrawn && it.waiting.isNotEmpty() && it.backoffUntil <= ctx.now && it.version > 0 }
+        .filter { it.ready && !it.withdrawn && it.waiting.isNotEmpty() && it.backoffUntil <= ctx.now && it.version > 0 }
         .sortedWith(
-            compareByDescending<Job> { it.guaranteed }.thenByDescending { it.spec.priority }.thenBy { it.submittedMs },
+            compareByDescending<Job> { it.guaranteed }.thenByDescending { it.priority }.thenByDescending { pressing(it) }.thenBy { it.submittedMs },
         )
 
+    /** A stage that must start by now, going by the deadline of the job that its user waits for. */
+    private fun pressing(job: Job): Boolean =
+        job.dueMs != Long.MAX_VALUE && job.dueMs - (job.spec.estimateS * 1000).toLong() <= ctx.time.wallMs
+
     /** A team's jobs in order of submission, as long as they fit into its guarantee together. */
     private fun markGuaranteed() {
         if (ctx.now < markedAt + MARK_EVERY_S && book.changes == markedFor) return
@@ -74,7 +78,8 @@
         val sums = HashMap<Int, Resources>()
         for (job in book.live.sortedBy { it.submittedMs }) {
             val team = ctx.settings.teams[job.team.value]
-            if (!team.hasGuarantee) continue
+            // One that waits for others holds no part of it.
+            if (!team.hasGuarantee || !job.ready) continue
             val sum = (sums[job.team.value] ?: Resources.NONE) + job.spec.need * (job.spec.tasks - job.doneCount)
             sums[job.team.value] = sum
             job.guaranteed = (team.cpus == 0L || sum.cpus <= team.cpus) && (team.gpus == 0L || sum.gpus <= team.gpus)
--- a/src/main/kotlin/plankwall/core/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/Preemptor.kt
@@ -18,7 +18,7 @@
     }
 
     fun makeRoom(job: Job, usable: List<Machine>) {
-        if (job.spec.priority <= Priority.LOW && !job.guaranteed) return
+        if (job.priority <= Priority.LOW && !job.guaranteed) return
         if (job.isGang && job.placements.isNotEmpty()) return
         if (job.isGangOfSeveral) {
             makeRoomForGang(job, usable)
@@ -111,7 +111,7 @@
         }
         m.reservations.forEach { free -= it.job.spec.need }
         if (candidates == null) return if (job.spec.need.fitsIn(free)) emptyList() else null
-        candidates.sortWith(compareBy<Placement> { it.job.spec.priority }.thenBy { lossOf(it) })
+        candidates.sortWith(compareBy<Placement> { it.job.priority }.thenBy { lossOf(it) })
         val victims = ArrayList<Placement>()
         for (p in candidates) {
             if (job.spec.need.fitsIn(free)) break
@@ -123,11 +123,11 @@
 
     private fun mayPreempt(job: Job, victim: Job): Boolean {
         // A gang of several would be lost as a whole; leave it to those who have no other way.
-        if (victim.isGangOfSeveral && job.spec.priority < Priority.PRODUCTION) return false
-        if (victim.spec.priority < job.spec.priority) return true
+        if (victim.isGangOfSeveral && job.priority < Priority.PRODUCTION) return false
+        if (victim.priority < job.priority) return true
         // A guarantee is owed, but not at the cost of more important work: two jobs would push each other about.
         return job.guaranteed && !victim.guaranteed && victim.team != job.team &&
-            victim.spec.priority == job.spec.priority && beyondGuarantee(victim.team)
+            victim.priority == job.priority && beyondGuarantee(victim.team)
     }
 
     private fun beyondGuarantee(team: TeamIx): Boolean {
--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -1,7 +1,6 @@
 package plankwall.core
 
 import org.slf4j.LoggerFactory
-import plankwall.wire.CatalogRecord
 import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
@@ -12,7 +11,6 @@
 import plankwall.wire.StateItem
 import plankwall.wire.StateResult
 import plankwall.wire.WorkerCodec
-import plankwall.wire.Write
 
 /**
  * All that a node knows and does while it leads, from winning to yielding. A new one begins with nothing and reads
@@ -26,20 +24,26 @@
     private val desk = WorkerDesk(ctx, leadership, book, fleet)
     private val placer = Placer(ctx, book, fleet)
     private val rental = RentalLoop(ctx, store, book, fleet, placer, ctx.now)
+    private val upgrade = Upgrade(leadership, store)
     private val teller = ProgressTeller(book)
     private var loaded = false
     private var savingCatalog = false
 
     fun begin() {
         store.readAll(Keys.FLEET) { items, _ ->
-            rental.restore(items.firstOrNull { it.key == Keys.FLEET })
-            store.readAll(Keys.JOBS) { jobs, revision ->
-                jobs.forEach { item -> (item.value as? JobRecord)?.let { book.learn(Keys.jobId(item.key), it, item.version) } }
-                store.readAll(Keys.PAGES) { pages, _ -> loadPages(pages, revision) }
+            rental.restore(items)
+            store.readAll(Keys.LEVEL) { levels, _ ->
+                upgrade.restore(levels)
+                loadJobs()
             }
         }
     }
 
+    private fun loadJobs() = store.readAll(Keys.JOBS) { jobs, revision ->
+        jobs.forEach { item -> (item.value as? JobRecord)?.let { book.learn(Keys.jobId(item.key), it, item.version) } }
+        store.readAll(Keys.PAGES) { pages, _ -> loadPages(pages, revision) }
+    }
+
     private fun loadPages(pages: List<StateItem>, revision: Long) {
         val orphans = ArrayList<String>()
         for (item in pages) {
@@ -80,8 +84,10 @@
         if (leadership.mayWrite) {
             // A leader that may have been replaced does not hear its workers for that reason: it concludes nothing.
             desk.releaseSilent()
+            book.tick()
             placer.plan()
             book.flush()
+            upgrade.tick()
             saveCatalog()
         }
         rental.tick()
@@ -161,8 +167,14 @@
     private fun saveCatalog() {
         val catalog = fleet.catalog ?: return
         if (savingCatalog || market.storedTypes == catalog.types.map { it.name }) return
+        val pieces = Divided.catalog(catalog, if (store.limits.mayDivide) store.limits.txnOps else 1, store.limits.wholeBytes)
+        // What can't be stored is asked of the cloud by every node instead, and not tried again.
+        if (pieces == null) {
+            if (store.limits.mayDivide) market.storedTypes = catalog.types.map { it.name }
+            return
+        }
         savingCatalog = true
-        store.write(emptyList(), listOf(Write.Put(Keys.CATALOG, CatalogRecord(catalog)))) { result ->
+        store.write(emptyList(), Divided.writes(Keys.CATALOG, pieces, 0)) { result ->
             savingCatalog = false
             if (result is StateResult.Committed) market.storedTypes = catalog.types.map { it.name }
         }
--- a/src/main/kotlin/plankwall/core/Room.kt
+++ b/src/main/kotlin/plankwall/core/Room.kt
@@ -36,7 +36,7 @@
     fun openTo(job: Job, m: Machine): Resources {
         if (m.reservations.isEmpty() && m.held === Resources.NONE) return m.free
         var room = m.free - m.held
-        for (r in m.reservations) if (r.job !== job && r.job.spec.priority >= job.spec.priority) room -= r.job.spec.need
+        for (r in m.reservations) if (r.job !== job && r.job.priority >= job.priority) room -= r.job.spec.need
         return room
     }
 
--- a/src/main/kotlin/plankwall/core/WarmRoom.kt
+++ b/src/main/kotlin/plankwall/core/WarmRoom.kt
@@ -23,7 +23,7 @@
     fun comesSooner(job: Job, m: Machine, usable: List<Machine>, zones: ZoneRule): Boolean {
         if (job.spec.shape == Shape.SERVICE) return false
         val limit = m.fetchWait(job.image, job.spec.imageGb, ctx.now) * SURELY_SOONER
-        val waitedS = (ctx.time.wallMs - job.submittedMs) / 1000.0
+        val waitedS = (ctx.time.wallMs - job.readyMs) / 1000.0
         if (limit < WORTH_S || waitedS >= limit) return false
         var found: Machine? = null
         var soonest = limit - waitedS
--- a/src/main/kotlin/plankwall/io/StateClient.kt
+++ b/src/main/kotlin/plankwall/io/StateClient.kt
@@ -51,7 +51,7 @@
             410 -> StateResult.TooOld
             400 -> {
                 log.warn("{} refused as malformed: {}", name(op), describe(outcome))
-                StateResult.Refused
+                StateResult.Rejected
             }
             else -> StateResult.Unknown
         }
--- a/src/main/kotlin/plankwall/model/JobSpec.kt
+++ b/src/main/kotlin/plankwall/model/JobSpec.kt
@@ -25,9 +25,18 @@
     val checkpointS: Double,
     val saveS: Double,
     val deadlineS: Double?,
+    /** Ids of the jobs that have to be done before any task of this one starts. */
+    val dependencies: List<String> = emptyList(),
 )
 
 /** Where a job stands, as told to its user. */
 enum class JobStage { PENDING, RUNNING, DONE, WITHDRAWN }
 
-data class JobView(val id: String, val stage: JobStage, val done: Int, val running: Int)
+/** [dependencies]: what the job waits, or waited, for; known while it is live. */
+data class JobView(
+    val id: String,
+    val stage: JobStage,
+    val done: Int,
+    val running: Int,
+    val dependencies: List<String> = emptyList(),
+)
--- a/src/main/kotlin/plankwall/model/Settings.kt
+++ b/src/main/kotlin/plankwall/model/Settings.kt
@@ -32,7 +32,10 @@
     val cancelS: Double,
 )
 
-data class StateLimits(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int)
+data class StateLimits(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int) {
+    /** What keeps within both. */
+    fun within(o: StateLimits) = StateLimits(minOf(rps, o.rps), minOf(writeRps, o.writeRps), minOf(valueKb, o.valueKb), minOf(txnOps, o.txnOps))
+}
 
 data class CloudLimits(val rps: Double, val listLagS: Double)
 
@@ -53,7 +56,12 @@
     val state: StateLimits,
     val cloud: CloudLimits,
     val maxConnections: Int,
+    /** The limits that the state service will have from some unannounced moment on. */
+    val stateNext: StateLimits? = null,
 ) {
+    /** Kept to from the start: the smaller limits come without notice. */
+    val stateTight: StateLimits = stateNext?.within(state) ?: state
+
     val nodes: Int get() = peers.size + 1
 }
 
--- a/src/main/kotlin/plankwall/wire/CloudCodec.kt
+++ b/src/main/kotlin/plankwall/wire/CloudCodec.kt
@@ -54,6 +54,18 @@
         return Catalog(types)
     }
 
+    internal fun readStoredCatalog(p: JsonParser): CatalogRecord {
+        val types = ArrayList<MachineType>()
+        var more = 0
+        p.fields { name ->
+            when (name) {
+                "builds" -> elements { types.add(type()) }
+                "more" -> more = intValue
+            }
+        }
+        return CatalogRecord(Catalog(types), more)
+    }
+
     private fun JsonParser.type(): MachineType {
         var typeName = ""
         var capacity = Resources.NONE
@@ -81,7 +93,8 @@
         return MachineType(typeName, capacity, cache, fetch.coerceAtLeast(0.001), price, spotPrice, boot, zones)
     }
 
-    internal fun writeCatalog(g: JsonGenerator, catalog: Catalog) = g.obj {
+    internal fun writeCatalog(g: JsonGenerator, catalog: Catalog, more: Int) = g.obj {
+        if (more > 0) writeNumberField("more", more)
         arr("builds") {
             catalog.types.forEach { t ->
                 obj {
--- a/src/main/kotlin/plankwall/wire/JobCodec.kt
+++ b/src/main/kotlin/plankwall/wire/JobCodec.kt
@@ -29,7 +29,13 @@
 
     fun isJobId(id: String): Boolean = ID.matches(id)
 
-    fun read(bytes: ByteArray): JobSpec = parseJson(bytes) { read(it) }
+    /** How many jobs one may wait for: with the longest usual ids they still fit a small stored value. */
+    const val MAX_DEPENDENCIES = 100
+
+    /** A submission. What bounds it beyond its form stays out of [read], which must go on reading what is stored. */
+    fun read(bytes: ByteArray): JobSpec = parseJson(bytes) { read(it) }.also {
+        if (it.dependencies.size > MAX_DEPENDENCIES) throw BadMessage("awaits: at most $MAX_DEPENDENCIES jobs")
+    }
 
     /** Throws [BadMessage] for anything missing or out of bounds: what is let in here is stored for good. */
     fun read(p: JsonParser): JobSpec {
@@ -53,6 +59,7 @@
         var checkpoint: Double? = null
         var save: Double? = null
         var deadline: Double? = null
+        var dependencies: List<String> = emptyList()
         p.fields { name ->
             when (name) {
                 "id" -> id = name(name)
@@ -74,6 +81,7 @@
                 "guess_s" -> estimate = amount(name).toDouble()
                 "snapshot_s" -> checkpoint = amount(name).toDouble()
                 "stow_s" -> save = amount(name).toDouble()
+                "awaits" -> dependencies = jobIds(name)
                 "due_s" -> deadline = if (currentToken() == JsonToken.VALUE_NULL) null else amount(name).toDouble()
             }
         }
@@ -81,11 +89,13 @@
         if (count !in 1..MAX_TASKS) throw BadMessage("pieces: must lie in 1..$MAX_TASKS")
         val jobId = need("id", id)
         if (!isJobId(jobId)) throw BadMessage("id: not of the form job-000412")
+        if (jobId in dependencies) throw BadMessage("awaits: names the job itself")
         return JobSpec(
             jobId, need("docket", jobClass), need("crew", team), need("shape", shape), need("urgency", priority),
             count.toInt(), Resources(need("cores", cpus), need("accelerators", gpus), need("ram_gb", memory)),
             need("mould", image), need("size_gb", imageGb), types, zone, oneZone, spread, spot,
             need("guess_s", estimate), need("snapshot_s", checkpoint), need("stow_s", save), deadline,
+            dependencies,
         )
     }
 
@@ -113,6 +123,23 @@
         return found
     }
 
+    /** A name that comes twice counts once. */
+    private fun JsonParser.jobIds(field: String): List<String> {
+        if (currentToken() == JsonToken.VALUE_NULL) return emptyList()
+        if (currentToken() != JsonToken.START_ARRAY) throw BadMessage("$field: not a list")
+        val found = LinkedHashSet<String>()
+        elements {
+            val id = text(field)
+            if (!isJobId(id)) throw BadMessage("$field: not of the form job-000412")
+            found.add(id)
+        }
+        return found.toList()
+    }
+
+    private fun JsonGenerator.jobIds(field: String, ids: List<String>) {
+        if (ids.isNotEmpty()) arr(field) { ids.forEach { writeString(it) } }
+    }
+
     fun write(g: JsonGenerator, s: JobSpec) {
         g.writeStringField("id", s.id)
         g.writeStringField("docket", s.jobClass)
@@ -134,6 +161,7 @@
         g.writeNumberField("snapshot_s", s.checkpointS)
         g.writeNumberField("stow_s", s.saveS)
         if (s.deadlineS != null) g.writeNumberField("due_s", s.deadlineS)
+        g.jobIds("awaits", s.dependencies)
     }
 
     private fun stageName(stage: JobStage): String = stage.name.lowercase()
@@ -151,6 +179,7 @@
             writeStringField("stage", stageName(view.stage))
             writeNumberField("done", view.done)
             writeNumberField("running", view.running)
+            jobIds("awaits", view.dependencies)
         }
     }
 
--- a/src/main/kotlin/plankwall/wire/PeerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/PeerCodec.kt
@@ -16,6 +16,8 @@
     val stateReachable: Boolean,
     /** Workers that turned up here within the last few seconds though this node does not lead. */
     val strayWorkers: Int,
+    /** What a node can read of other nodes' data: [PeerCodec.LEVEL] of its version. */
+    val level: Int = PeerCodec.FIRST_LEVEL,
 ) : PeerMessage
 
 data class JobProgress(val id: String, val done: Int, val running: Int)
@@ -28,6 +30,12 @@
     private const val PROGRESS = 2
     const val MAX_FRAME = 64 * 1024
 
+    /** The first version, whose frames name no level. */
+    const val FIRST_LEVEL = 1
+
+    /** This version: knows dependencies, divided pages and values that go on under further keys. */
+    const val LEVEL = 2
+
     fun write(message: PeerMessage): ByteArray = when (message) {
         is PeerStatus -> status(message)
         is ProgressNews -> progress(message)
@@ -38,6 +46,8 @@
         body.writeByte(STATUS).name(s.node)
         body.writeLong(s.incarnation).writeLong(s.epochSeen).writeLong(s.resignedEpoch)
         body.writeByte(if (s.leading) 1 else 0).writeByte(if (s.stateReachable) 1 else 0).writeInt(s.strayWorkers)
+        // Frames grow at the end only: the first version reads up to here and ignores the rest.
+        body.writeInt(s.level)
         return body.readByteArray()
     }
 
@@ -66,7 +76,9 @@
         val resigned = b.readLong()
         val leading = b.readByte().toInt() == 1
         val reachable = b.readByte().toInt() == 1
-        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, b.readInt())
+        val strays = b.readInt()
+        val level = if (b.exhausted()) FIRST_LEVEL else b.readInt()
+        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, strays, level)
     }
 
     private fun readProgress(b: Buffer): ProgressNews {
--- a/src/main/kotlin/plankwall/wire/Records.kt
+++ b/src/main/kotlin/plankwall/wire/Records.kt
@@ -20,29 +20,41 @@
 
 data class StoredPlacement(val task: Int, val attempt: Long, val machine: String, val session: Long)
 
-/** The state of up to [JobRecord.pageSize] tasks of one job. Only the leader writes it. */
-data class PageRecord(val done: BitSet, val placements: List<StoredPlacement>) : Stored
+/**
+ * The state of up to [JobRecord.pageSize] tasks of one job. Only the leader writes it. A page that outgrew a stored value
+ * is divided: it then holds its first [partSize] tasks, and further keys ([Keys.part]) as many each. 0: not divided.
+ */
+data class PageRecord(val done: BitSet, val placements: List<StoredPlacement>, val partSize: Int = 0) : Stored
 
-/** How a job ended. Kept for ever and apart from the live records. */
-data class FinalRecord(val stage: JobStage, val done: Int) : Stored
+/** How a job ended, and when (0: not known). Kept for ever and apart from the live records. */
+data class FinalRecord(val stage: JobStage, val done: Int, val endedMs: Long = 0) : Stored
 
 data class StoredRental(val request: String, val group: GroupKey, val count: Int)
 
 data class StoredArrival(val machine: String, val group: GroupKey, val rentedMs: Long)
 
-/** The rental loop's memory: what was asked for, what is on its way, what is being given back. */
+/**
+ * The rental loop's memory: what was asked for, what is on its way, what is being given back. [more]: how many further
+ * keys hold the rest of it, written in the same transaction; they count only while the first says so.
+ */
 data class FleetRecord(
     val rentals: List<StoredRental>,
     val arrivals: List<StoredArrival>,
     val returning: List<String>,
+    val more: Int = 0,
 ) : Stored
 
-data class CatalogRecord(val catalog: Catalog) : Stored
+/** [more] as in [FleetRecord]. */
+data class CatalogRecord(val catalog: Catalog, val more: Int = 0) : Stored
+
+/** The lowest [PeerStatus.level] of all nodes, once all have shown theirs: none older can lead any more. */
+data class LevelRecord(val level: Int) : Stored
 
 object Keys {
     const val LEADER = "leader"
     const val FLEET = "fleet"
     const val CATALOG = "catalog"
+    const val LEVEL = "level"
     const val JOBS = "j/"
     const val PAGES = "t/"
     const val FINALS = "f/"
@@ -58,6 +70,20 @@
 
     fun jobId(key: String): String = key.substringAfter('/').substringBefore('/')
 
+    /** The number of part [part] of [page]; part 0 is the page itself. */
+    fun part(page: Int, part: Int): Int = part * PART_STEP + page
+
+    /** The page that [number] is a part of. */
+    fun wholeOf(number: Int): Int = number % PART_STEP
+
+    fun partOf(number: Int): Int = number / PART_STEP
+
+    /** Where the rest of a value that outgrew its key is kept, [n] counting from 1. */
+    fun more(key: String, n: Int) = "$key/$n"
+
+    /** Beyond the number of any page: 100,000 tasks make 12,500 of the smallest. */
+    private const val PART_STEP = 1_000_000
+
     fun pageNumber(key: String): Int? = key.substringAfterLast('/').toIntOrNull()
 }
 
@@ -95,11 +121,14 @@
                     writeEndArray()
                 }
             }
+            if (record.partSize > 0) writeNumberField("s", record.partSize)
         }
         is FinalRecord -> g.obj {
             writeStringField("stage", record.stage.name)
             writeNumberField("done", record.done)
+            if (record.endedMs > 0) writeNumberField("at", record.endedMs)
         }
+        is LevelRecord -> g.obj { writeNumberField("level", record.level) }
         is FleetRecord -> g.obj {
             arr("rentals") {
                 record.rentals.forEach {
@@ -120,8 +149,9 @@
                 }
             }
             arr("returning") { names(record.returning.sorted()) }
+            if (record.more > 0) writeNumberField("more", record.more)
         }
-        is CatalogRecord -> CloudCodec.writeCatalog(g, record.catalog)
+        is CatalogRecord -> CloudCodec.writeCatalog(g, record.catalog, record.more)
     }
 
     private fun JsonGenerator.names(names: List<String>) = NameRuns.write(names) { first, following ->
@@ -138,8 +168,9 @@
     /** Null for a key of a kind that this version does not know. */
     fun read(key: String, p: JsonParser): Stored? = when {
         key == Keys.LEADER -> leader(p)
-        key == Keys.FLEET -> fleet(p)
-        key == Keys.CATALOG -> CatalogRecord(CloudCodec.readCatalog(p))
+        key == Keys.FLEET || key.startsWith("${Keys.FLEET}/") -> fleet(p)
+        key == Keys.CATALOG || key.startsWith("${Keys.CATALOG}/") -> CloudCodec.readStoredCatalog(p)
+        key == Keys.LEVEL -> level(p)
         key.startsWith(Keys.JOBS) -> job(p)
         key.startsWith(Keys.PAGES) -> page(p)
         key.startsWith(Keys.FINALS) -> final(p)
@@ -177,6 +208,7 @@
 
     private fun page(p: JsonParser): PageRecord {
         val done = BitSet()
+        var partSize = 0
         val placements = ArrayList<StoredPlacement>()
         p.fields { name ->
             when (name) {
@@ -196,21 +228,30 @@
                     placements.add(StoredPlacement(task, attempt, machine, longValue))
                     nextToken()
                 }
+                "s" -> partSize = intValue
             }
         }
-        return PageRecord(done, placements)
+        return PageRecord(done, placements, partSize)
     }
 
     private fun final(p: JsonParser): FinalRecord {
         var stage = JobStage.DONE
         var done = 0
+        var endedMs = 0L
         p.fields { name ->
             when (name) {
                 "stage" -> stage = if (text(name) == JobStage.WITHDRAWN.name) JobStage.WITHDRAWN else JobStage.DONE
                 "done" -> done = intValue
+                "at" -> endedMs = whole(name)
             }
         }
-        return FinalRecord(stage, done)
+        return FinalRecord(stage, done, endedMs)
+    }
+
+    private fun level(p: JsonParser): LevelRecord {
+        var level = 0
+        p.fields { name -> if (name == "level") level = intValue }
+        return LevelRecord(level)
     }
 
     private fun JsonParser.run(name: String): List<String> {
@@ -232,6 +273,7 @@
         val rentals = ArrayList<StoredRental>()
         val arrivals = ArrayList<StoredArrival>()
         val returning = ArrayList<String>()
+        var more = 0
         p.fields { name ->
             when (name) {
                 "rentals" -> elements {
@@ -249,8 +291,9 @@
                     while (nextToken() != JsonToken.END_ARRAY) run(name).forEach { arrivals.add(StoredArrival(it, group, rentedMs)) }
                 }
                 "returning" -> elements { returning.addAll(run(name)) }
+                "more" -> more = intValue
             }
         }
-        return FleetRecord(rentals, arrivals, returning)
+        return FleetRecord(rentals, arrivals, returning, more)
     }
 }
--- a/src/main/kotlin/plankwall/wire/StateCodec.kt
+++ b/src/main/kotlin/plankwall/wire/StateCodec.kt
@@ -52,6 +52,9 @@
 
     data object TooOld : StateResult
 
+    /** 400: not executed, and never will be as it is: too large, or malformed. */
+    data object Rejected : StateResult
+
     /** 429, 503, or never sent: surely not executed. */
     data object Refused : StateResult
 
--- a/src/test/kotlin/plankwall/sim/SimState.kt
+++ b/src/test/kotlin/plankwall/sim/SimState.kt
@@ -1,5 +1,7 @@
 package plankwall.sim
 
+import plankwall.model.StateLimits
+import plankwall.wire.StateCodec
 import plankwall.wire.StateEvent
 import plankwall.wire.StateItem
 import plankwall.wire.StateOp
@@ -28,6 +30,21 @@
             field = value
         }
 
+    /** Null: no limits. Larger values and transactions are refused for good, changes beyond the rate for now. */
+    var limits: StateLimits? = null
+    private var second = -1L
+    private var changesInSecond = 0
+
+    /** What was refused for good, and how often. */
+    val rejected = HashMap<String, Int>()
+
+    fun put(key: String, value: Stored) {
+        entries[key] = Entry(value, ++revision, null)
+        history.add(StateEvent(key, value, revision))
+    }
+
+    fun value(key: String): Stored? = entries[key]?.value
+
     val keys: Set<String> get() = entries.keys
 
     /** The most requests, and the most puts and deletes, that came within any second. */
@@ -102,7 +119,20 @@
         is StateOp.Watch -> error("watches are handled apart")
     }
 
+    private fun limited(op: StateOp.Txn, limits: StateLimits): StateResult? {
+        val large = op.writes.filterIsInstance<Write.Put>().filter { StateCodec.sizeOf(it.value) > limits.valueKb * 1024 }
+        large.forEach { rejected.merge(it.key, 1, Int::plus) }
+        if (op.writes.size > limits.txnOps) rejected.merge("${op.writes.size} changes", 1, Int::plus)
+        if (op.guards.size > limits.txnOps * 4) rejected.merge("${op.guards.size} guards", 1, Int::plus)
+        if (large.isNotEmpty() || op.writes.size > limits.txnOps || op.guards.size > limits.txnOps * 4) return StateResult.Rejected
+        if (clock.now.toLong() != second) changesInSecond = 0
+        second = clock.now.toLong()
+        changesInSecond += op.writes.size
+        return if (changesInSecond > limits.writeRps * 2) StateResult.Refused else null
+    }
+
     private fun transact(op: StateOp.Txn): StateResult {
+        limits?.let { l -> limited(op, l)?.let { return it } }
         val failed = op.guards.filter { (entries[it.key]?.version ?: 0L) != it.version }.map { it.key }.toSet()
         if (failed.isNotEmpty()) return StateResult.Conflict(failed)
         if (op.writes.any { it is Write.Put && it.lease != null && it.lease !in leases }) return StateResult.Refused
