--- /dev/null
+++ b/src/test/kotlin/plankwall/PipelineDaysTest.kt
@@ -0,0 +1,223 @@
+package plankwall
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+import plankwall.core.Input
+import plankwall.model.JobSpec
+import plankwall.model.Priority
+import plankwall.model.Shape
+import plankwall.model.StateLimits
+import plankwall.sim.World
+
+/** Jobs that wait for others, on whole sites in virtual time. */
+class PipelineDaysTest {
+    private val smaller = StateLimits(250.0, 70.0, 2.0, 10)
+
+    /** A chain 1, 2, 3, 4 of which 2 and 3 both need 1, and 4 needs both. */
+    private fun World.pipeline(at: Double, first: Int = 1, lateLast: Double = 0.0) {
+        clock.after(at) {
+            submit(World.job(first, tasks = 3, runS = 8.0, priority = Priority.LOW, spot = true))
+            submit(World.job(first + 1, tasks = 6, runS = 10.0, priority = Priority.LOW, after = listOf(first)))
+            submit(World.job(first + 2, Shape.GANG, tasks = 2, runS = 6.0, oneZone = true, after = listOf(first)))
+        }
+        clock.after(at + lateLast) {
+            submit(World.job(first + 3, tasks = 2, runS = 4.0, priority = Priority.HIGH, after = listOf(first + 1, first + 2)).copy(deadlineS = 120.0))
+        }
+    }
+
+    private fun World.stages(ids: IntRange): List<String?> = ids.map { stageOf("job-%06d".format(it)) }
+
+    private fun World.assertSound() {
+        assertEquals(emptyList<String>(), checker.broken)
+        assertEquals(emptyList<String>(), checker.refused)
+    }
+
+    private val troubles: Map<String, World.(Double) -> Unit> = mapOf(
+        "none" to {},
+        "leader crash" to { at -> clock.after(at) { nodes.first { it.leading }.crash(6.0) } },
+        "all crash" to { at -> clock.after(at) { nodes.forEach { it.crash(8.0) } } },
+        "outage" to { at ->
+            clock.after(at) { state.outage = true }
+            clock.after(at + 12.0) { state.outage = false }
+        },
+        "late writes" to { at ->
+            clock.after(at - 10.0) { lateWrites = 0.2 }
+            clock.after(at + 20.0) { lateWrites = 0.0 }
+        },
+        "lost answers" to { at ->
+            clock.after(at - 10.0) { loss = 0.15 }
+            clock.after(at + 20.0) { loss = 0.0 }
+        },
+    )
+
+    @ParameterizedTest(name = "{0} at {1}")
+    @CsvSource(
+        "none, 10", "leader crash, 22", "leader crash, 27", "leader crash, 34", "all crash, 24", "all crash, 33", "outage, 20", "outage, 26",
+        "late writes, 25", "lost answers, 25",
+    )
+    fun `stages run in order whatever fails`(trouble: String, at: Double) {
+        val world = World(at.toLong())
+        world.pipeline(2.0)
+        world.pipeline(4.0, first = 11, lateLast = 70.0)
+        troubles.getValue(trouble)(world, at)
+        world.clock.runUntil(200.0)
+        assertEquals(List(4) { "done" }, world.stages(1..4))
+        assertEquals(List(4) { "done" }, world.stages(11..14), "the last was submitted when the others were over")
+        world.assertSound()
+    }
+
+    @ParameterizedTest(name = "{0} withdrawn at {1}, {2}")
+    @CsvSource(
+        "1, 5, none", "1, 20, leader crash", "1, 20, outage", "1, 18, all crash", "2, 5, leader crash", "2, 28, leader crash", "2, 28, outage",
+        "3, 8, all crash", "4, 30, none", "4, 30, leader crash", "1, 20, late writes", "2, 25, lost answers",
+    )
+    fun `what is cancelled takes with it all that needs it, and nothing else`(stage: Int, at: Double, trouble: String) {
+        val world = World(stage * 100L + at.toLong())
+        world.pipeline(2.0)
+        world.clock.after(at) { world.withdraw("job-%06d".format(stage)) }
+        troubles.getValue(trouble)(world, at + 0.05)
+        // In that very moment, and long after.
+        world.clock.after(at) { world.submit(World.job(5, tasks = 1, after = listOf(stage))) }
+        world.clock.after(at + 60.0) { world.submit(World.job(6, tasks = 1, after = listOf(5))) }
+        world.clock.runUntil(at + 130.0)
+        val told = world.stages(1..6)
+        val needs = mapOf(1 to emptyList(), 2 to listOf(1), 3 to listOf(1), 4 to listOf(2, 3), 5 to listOf(stage), 6 to listOf(5))
+        for ((job, names) in needs) {
+            val expected = if (names.any { told[it - 1] == "withdrawn" } || (job == stage && told[job - 1] != "done")) "withdrawn" else "done"
+            assertEquals(expected, told[job - 1], "job $job of $told")
+        }
+        world.assertSound()
+    }
+
+    @Test
+    fun `whether a stage was done or cancelled in the same moment is decided once, for its dependents too`() {
+        val outcomes = HashSet<String?>()
+        for (step in 0 until 24) {
+            val world = World(500L + step, nodeCount = 1)
+            world.clock.after(2.0) {
+                world.submit(World.job(1, tasks = 1, runS = 8.0))
+                world.submit(World.job(2, tasks = 1, runS = 2.0, after = listOf(1)))
+            }
+            while (world.checker.starts == 0) world.clock.runUntil(world.clock.now + 0.01)
+            world.clock.after(7.8 + 0.05 * step) { world.withdraw("job-000001") }
+            world.clock.runUntil(world.clock.now + 60.0)
+            val (first, second) = world.stages(1..2)
+            assertEquals(first, second)
+            outcomes.add(first)
+            world.assertSound()
+        }
+        assertEquals(setOf<String?>("done", "withdrawn"), outcomes, "both sides of the race were met")
+    }
+
+    @Test
+    fun `a new leader reads how dependencies ended before it starts anything that needs them`() {
+        val world = World(31)
+        world.clock.after(2.0) {
+            world.submit(World.job(1, tasks = 1, runS = 5.0))
+            world.submit(World.job(2, tasks = 1, runS = 60.0))
+            world.submit(World.job(3, tasks = 2, runS = 5.0, after = listOf(1, 2)))
+        }
+        world.clock.runUntil(40.0)
+        assertEquals(listOf("done", "running", "pending"), world.stages(1..3))
+        world.nodes.forEach { it.crash(5.0) }
+        world.clock.runUntil(140.0)
+        assertEquals(List(3) { "done" }, world.stages(1..3))
+        world.assertSound()
+    }
+
+    @ParameterizedTest(name = "named job {0}: {1}")
+    @CsvSource(
+        "live, 201", "done, 201", "withdrawn, 201", "accepted by another node just now, 201", "never accepted, 422", "unreadable, 503",
+        "never accepted but known itself, 200",
+    )
+    fun `what a submission may name`(standing: String, expected: Int) {
+        val world = World(41)
+        world.clock.after(2.0) { world.submit(World.job(1, tasks = 1, runS = if (standing == "done") 3.0 else 300.0)) }
+        if (standing == "withdrawn") world.clock.after(8.0) { world.withdraw("job-000001") }
+        world.clock.runUntil(60.0)
+        val spec = when (standing) {
+            "never accepted" -> World.job(9, after = listOf(1, 77))
+            "never accepted but known itself" -> World.job(1, after = listOf(77))
+            "accepted by another node just now" -> World.job(9, after = listOf(8))
+            "unreadable" -> World.job(9, after = listOf(78))
+            else -> World.job(9, after = listOf(1))
+        }
+        val statuses = ArrayList<Int>()
+        val ask = { world.nodes[1].ask({ Input.Submit(it, spec) }) { status, _ -> statuses.add(status) } }
+        if (standing == "unreadable") world.state.outage = true
+        if (standing.startsWith("accepted by another")) {
+            world.nodes[0].ask({ Input.Submit(it, World.job(8, runS = 300.0)) }) { status, _ -> if (status == 201) ask() }
+        } else {
+            ask()
+        }
+        world.clock.runUntil(62.0)
+        assertEquals(listOf(expected), statuses)
+    }
+
+    @Test
+    fun `a long chain and a crowd of dependents end with the one they all need`() {
+        val world = World(51, stateNext = smaller)
+        world.clock.after(1.0) { world.submit(World.job(1, tasks = 1, runS = 500.0)) }
+        for (n in 2..120) world.clock.after(1.0 + n * 0.02) { world.submit(World.job(n, tasks = 1, after = listOf(n - 1))) }
+        for (n in 201..320) world.clock.after(1.0 + (n - 200) * 0.02) { world.submit(World.job(n, tasks = 1, after = listOf(1))) }
+        world.clock.after(60.0) { world.withdraw("job-000001") }
+        world.clock.after(60.3) { world.nodes.first { it.leading }.crash(8.0) }
+        world.clock.runUntil(60.0 + world.settings.workers.cancelS)
+        assertTrue(world.state.keys.none { it.startsWith("j/") }, "still live: ${world.state.keys.filter { it.startsWith("j/") }}")
+        assertEquals(List(3) { "withdrawn" }, listOf(1, 120, 320).map { world.stageOf("job-%06d".format(it)) })
+        assertEquals(1, world.checker.starts)
+        world.assertSound()
+    }
+
+    @Test
+    fun `a job that waits holds nothing back`() {
+        val world = World(61)
+        // Team red may use 16 accelerators; what waits for job 1 must neither count nor take their place.
+        world.clock.after(1.0) { world.submit(World.job(1, Shape.GANG, tasks = 4, gpus = 1, runS = 60.0, team = "red")) }
+        world.clock.after(2.0) { world.submit(World.job(2, Shape.GANG, tasks = 4, gpus = 4, runS = 5.0, team = "red", priority = Priority.PRODUCTION, after = listOf(1))) }
+        world.clock.after(3.0) { world.submit(World.job(3, tasks = 12, gpus = 1, runS = 20.0, team = "red", priority = Priority.LOW)) }
+        world.clock.runUntil(60.0)
+        assertEquals(listOf("running", "pending", "done"), world.stages(1..3))
+        assertEquals(4, world.cloud.rentals, "rented for what may start, and no more")
+        world.clock.runUntil(140.0)
+        assertEquals("done", world.stageOf("job-000002"))
+        world.assertSound()
+    }
+
+    @Test
+    fun `a stage has the priority of the job that its user waits for`() {
+        val world = World(71)
+        world.cloud.capacity = 1
+        fun short(n: Int, priority: Priority, after: List<Int> = emptyList()): JobSpec = World.job(n, tasks = 4, runS = 10.0, priority = priority, after = after)
+        world.clock.after(1.0) { world.submit(short(1, Priority.HIGH)) }
+        world.clock.after(2.0) { world.submit(short(2, Priority.NORMAL)) }
+        world.clock.after(3.0) { world.submit(short(3, Priority.LOW)) }
+        world.clock.after(4.0) { world.submit(short(4, Priority.LOW, after = listOf(3))) }
+        world.clock.after(5.0) { world.submit(short(5, Priority.HIGH, after = listOf(4))) }
+        while (world.stageOf("job-000003") != "done") world.clock.runUntil(world.clock.now + 0.5)
+        assertEquals("pending", world.stageOf("job-000002"), "of lower priority than what needs job 3")
+        world.assertSound()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [81, 82, 83])
+    fun `a site is rolled node by node under load while limits shrink`(seed: Long) {
+        val world = World(seed, stateNext = smaller)
+        for (n in 100..140) world.clock.after(1.0 + (n - 100)) { world.submit(World.job(n, tasks = 4, runS = 25.0, spot = n % 2 == 0)) }
+        world.pipeline(20.0)
+        world.pipeline(40.0, first = 11)
+        world.pipeline(62.0, first = 21)
+        for (n in 0..2) world.clock.after(30.0 + 15.0 * n) { world.nodes[n].crash(6.0) }
+        world.clock.after(65.0) { world.state.limits = smaller }
+        world.clock.after(80.0) { world.withdraw("job-000022") }
+        world.clock.runUntil(260.0)
+        assertEquals(List(4) { "done" }, world.stages(1..4))
+        assertEquals(listOf("done", "withdrawn", "done", "withdrawn"), world.stages(21..24))
+        assertEquals(emptyMap<String, Int>(), world.state.rejected, "nothing beyond the announced limits was tried")
+        world.assertSound()
+    }
+}
