--- a/src/test/kotlin/plankwall/sim/World.kt
+++ b/src/test/kotlin/plankwall/sim/World.kt
@@ -151,6 +151,13 @@
         submitTry(spec, withdrawAfter)
     }
 
+    /** A job that another version accepted: its users poll it as any other. */
+    fun assumeAccepted(spec: JobSpec) {
+        specs[spec.id] = spec
+        checker.submitted(spec, 201, clock.now)
+        clock.after(1.0) { poll(spec.id) }
+    }
+
     private fun submitTry(spec: JobSpec, withdrawAfter: Double?) {
         // Users name only jobs that were accepted, and go on as soon as they are.
         if (!spec.dependencies.all { checker.isAccepted(it) }) {
