Tests: what either version stores and sends, bad input; unknown kinds of keys are passed over

Found by the new test: a key of an unknown kind under a prefix that is read made the whole answer unreadable. The first version has that fault, so further keys of the fleet's record must not exist while it may lead; this one reads past them.

--- a/src/main/kotlin/plankwall/wire/Records.kt
+++ b/src/main/kotlin/plankwall/wire/Records.kt
@@ -174,7 +174,11 @@
         key.startsWith(Keys.JOBS) -> job(p)
         key.startsWith(Keys.PAGES) -> page(p)
         key.startsWith(Keys.FINALS) -> final(p)
-        else -> null
+        else -> {
+            // Read past, or the whole answer that it stands in could not be read: the first version fails on that.
+            p.skipChildren()
+            null
+        }
     }
 
     private fun leader(p: JsonParser): LeaderRecord {
--- a/src/test/kotlin/plankwall/SettingsTest.kt
+++ b/src/test/kotlin/plankwall/SettingsTest.kt
@@ -11,6 +11,7 @@
 import plankwall.cli.BadSettings
 import plankwall.cli.SettingsFile
 import plankwall.cli.TuningFile
+import plankwall.model.StateLimits
 
 class SettingsTest {
     private val good = """
@@ -55,6 +56,28 @@
         assertTrue(key in e.message.orEmpty(), e.message)
     }
 
+    private val next = good.replace("[settings.cloud]", "[settings.state.next]\nwrite_rps = 70.0\nvalue_kb = 2.0\ntxn_ops = 10\n[settings.cloud]")
+
+    @Test
+    fun `announced limits are kept to where they are smaller`() {
+        assertEquals(StateLimits(250.0, 70.0, 2.0, 10), SettingsFile.read(TomlMapper().readTree(next)).stateTight)
+        val larger = next.replace("value_kb = 2.0", "value_kb = 32.0")
+        assertEquals(8.0, SettingsFile.read(TomlMapper().readTree(larger)).stateTight.valueKb)
+        val unchanged = SettingsFile.read(TomlMapper().readTree(good))
+        assertEquals(unchanged.state, unchanged.stateTight)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "'value_kb = 2.0', 'value_kb = 0.5', state.next.value_kb, 1.0..64.0", "'txn_ops = 10', '', state.next.txn_ops, 4.0..10000.0",
+        "'write_rps = 70.0', 'write_rps = \"few\"', state.next.write_rps, 1.0..1000000.0",
+        "'txn_ops = 10', 'txn_ops = 10\nrps = 0', state.next.rps, 1.0..1000000.0",
+    )
+    fun `bad announced limits are refused by key and range`(old: String, new: String, key: String, range: String) {
+        val e = assertThrows(BadSettings::class.java) { SettingsFile.read(TomlMapper().readTree(next.replace(old, new.replace("\\n", "\n")))) }
+        assertTrue(key in e.message.orEmpty() && range in e.message.orEmpty(), e.message)
+    }
+
     @ParameterizedTest
     @CsvSource(
         "'unneeded_secs: 5', unneeded_secs", "'halt_unready_share: 2', 0.01..1.0", "'unready_s: soon', unready_s",
--- /dev/null
+++ b/src/test/kotlin/plankwall/VersionsTest.kt
@@ -0,0 +1,156 @@
+package plankwall
+
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import plankwall.core.Divided
+import plankwall.model.GroupKey
+import plankwall.model.JobStage
+import plankwall.model.Priority
+import plankwall.model.Shape
+import plankwall.sim.SimWorker
+import plankwall.sim.World
+import plankwall.wire.CatalogRecord
+import plankwall.wire.FinalRecord
+import plankwall.wire.FleetRecord
+import plankwall.wire.JobProgress
+import plankwall.wire.JobRecord
+import plankwall.wire.Keys
+import plankwall.wire.LeaderRecord
+import plankwall.wire.LevelRecord
+import plankwall.wire.PageRecord
+import plankwall.wire.PeerCodec
+import plankwall.wire.PeerStatus
+import plankwall.wire.ProgressNews
+import plankwall.wire.StateCodec
+import plankwall.wire.StateItem
+import plankwall.wire.StateOp
+import plankwall.wire.StateResult
+import plankwall.wire.Stored
+import plankwall.wire.StoredArrival
+import plankwall.wire.StoredPlacement
+import plankwall.wire.StoredRental
+import plankwall.wire.Write
+import java.util.BitSet
+
+/** What the first version stored and sent, taken from running it, and what it makes of what this one stores and sends. */
+class VersionsTest {
+    class Case(val key: String, val json: String, val record: Stored) {
+        override fun toString() = "$key ${json.take(40)}"
+    }
+
+    private fun encode(record: Stored): String =
+        StateCodec.txn(StateOp.Txn(emptyList(), listOf(Write.Put("x", record)))).decodeToString().substringAfter("\"data\":").removeSuffix("}]}")
+
+    private fun decode(key: String, json: String): Stored? =
+        (StateCodec.item("""{"key":"$key","data":$json,"stamp":7}""".encodeToByteArray()) as StateResult.Item).item?.value
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("firstVersion")
+    fun `what the first version stored is read, and written alike where nothing new is in it`(case: Case) {
+        assertEquals(case.record, decode(case.key, case.json))
+        assertEquals(case.json, encode(case.record))
+    }
+
+    /** As the first version writes back what it read: without the fields that it does not know. */
+    private fun rewrittenByFirst(record: Stored): String {
+        val tree = SimWorker.json.readTree(encode(record)) as ObjectNode
+        when (record) {
+            is JobRecord -> (tree.get("spec") as ObjectNode).remove("awaits")
+            is PageRecord -> tree.remove("s")
+            is FinalRecord -> tree.remove("at")
+            is FleetRecord, is CatalogRecord -> tree.remove("more")
+            is LeaderRecord, is LevelRecord -> Unit
+        }
+        return tree.toString()
+    }
+
+    @Test
+    fun `a record that the first version rewrites loses what it waits for only together with all starts`() {
+        // It rewrites a job's record for nothing but a withdrawal, and that is final.
+        val record = JobRecord(spec.copy(dependencies = listOf("job-000001")), 1_700_000_000_000, 1_700_000_009_000, 28)
+        assertEquals(record.copy(spec = spec), decode(Keys.job(spec.id), rewrittenByFirst(record)))
+    }
+
+    @Test
+    fun `a divided record of the fleet that the first version rewrites leaves further keys that count for nothing`() {
+        val first = fleet.copy(more = 1)
+        val further = StateItem(Keys.more(Keys.FLEET, 1), FleetRecord(emptyList(), emptyList(), listOf("i-000777")), 5)
+        assertEquals(listOf("i-000009", "i-000777"), Divided.fleet(listOf(StateItem(Keys.FLEET, first, 5), further))?.returning)
+        val rewritten = checkNotNull(decode(Keys.FLEET, rewrittenByFirst(first)))
+        assertEquals(fleet, Divided.fleet(listOf(StateItem(Keys.FLEET, rewritten, 6), further)))
+    }
+
+    @Test
+    fun `the end of a job is the same without its time`() {
+        assertEquals(FinalRecord(JobStage.DONE, 3), decode(Keys.final("job-000412"), rewrittenByFirst(FinalRecord(JobStage.DONE, 3, 1_700_000_009_000))))
+    }
+
+    @Test
+    fun `keys of a kind that a version does not know are passed over`() {
+        assertNull(decode("x/later", """{"a":1}"""))
+        assertEquals(LevelRecord(2), decode(Keys.LEVEL, encode(LevelRecord(2))))
+    }
+
+    @Test
+    fun `peers of the first version are heard, and hear what they know`() {
+        val status = PeerStatus("n1", 5, 7, true, 3, true, 4)
+        val sentByFirst = bytes("01000000026e31000000000000000500000000000000070000000000000003010100000004")
+        assertEquals(status.copy(level = PeerCodec.FIRST_LEVEL), PeerCodec.read(sentByFirst))
+        // It reads as many bytes as it knows and leaves the rest.
+        val sent = PeerCodec.write(status.copy(level = PeerCodec.LEVEL))
+        assertEquals(sentByFirst.toList(), sent.take(sentByFirst.size))
+        val news = bytes("020000000000000009000000010000000a6a6f622d3030303030310000000300000004")
+        assertEquals(ProgressNews(9, listOf(JobProgress("job-000001", 3, 4))), PeerCodec.read(news))
+        assertEquals(news.toList(), PeerCodec.write(ProgressNews(9, listOf(JobProgress("job-000001", 3, 4)))).toList())
+    }
+
+    private fun bytes(hex: String) = ByteArray(hex.length / 2) { hex.substring(2 * it, 2 * it + 2).toInt(16).toByte() }
+
+    companion object {
+        private val spec = World.job(412, Shape.GANG, tasks = 3, oneZone = true, spot = true, priority = Priority.HIGH)
+            .copy(types = listOf("box"), zone = "a", deadlineS = 900.0)
+        private const val SPEC = """{"id":"job-000412","docket":"class","crew":"blue","shape":"ensemble","urgency":"urgent","pieces":3,""" +
+            """"cores":2.0,"accelerators":1.0,"ram_gb":8.0,"mould":"image-1","size_gb":2.0,"builds":["box"],"yard":"a","together":true,""" +
+            """"scatter":false,"loaners":true,"guess_s":20.0,"snapshot_s":0.0,"stow_s":0.0,"due_s":900.0}"""
+        private val group = GroupKey("box", "a", true)
+        private val fleet = FleetRecord(
+            listOf(StoredRental("r-7-1", group, 12)),
+            listOf(StoredArrival("i-000001", group, 1_700_000_000_000), StoredArrival("i-000002", group, 1_700_000_000_000)),
+            listOf("i-000009"),
+        )
+
+        @JvmStatic
+        fun firstVersion() = listOf(
+            Case(Keys.LEADER, """{"node":"n1","inc":77}""", LeaderRecord("n1", 77)),
+            Case(Keys.job(spec.id), """{"spec":$SPEC,"at":1700000000000,"page":124}""", JobRecord(spec, 1_700_000_000_000, 0, 124)),
+            Case(
+                Keys.job(spec.id), """{"spec":$SPEC,"at":1700000000000,"wd":1700000009000,"page":124}""",
+                JobRecord(spec, 1_700_000_000_000, 1_700_000_009_000, 124),
+            ),
+            Case(
+                Keys.page(spec.id, 0), """{"d":[0,2,7,7],"p":[[4,70000001,"i-000231",2],[5,70000002,"i-000232",1]]}""",
+                PageRecord(
+                    BitSet().apply { set(0, 3); set(7) },
+                    listOf(StoredPlacement(4, 70_000_001, "i-000231", 2), StoredPlacement(5, 70_000_002, "i-000232", 1)),
+                ),
+            ),
+            Case(Keys.final(spec.id), """{"stage":"DONE","done":3}""", FinalRecord(JobStage.DONE, 3)),
+            Case(Keys.final(spec.id), """{"stage":"WITHDRAWN","done":1}""", FinalRecord(JobStage.WITHDRAWN, 1)),
+            Case(
+                Keys.FLEET,
+                """{"rentals":[["r-7-1","box","a",true,12]],"arrivals":[["box","a",true,1700000000000,"i-000001",1]],"returning":["i-000009",0]}""",
+                fleet,
+            ),
+            Case(
+                Keys.CATALOG,
+                """{"builds":[{"name":"box","cores":16.0,"accelerators":4.0,"ram_gb":64.0,"cache_gb":100.0,"pull_gb_per_s":1.0,""" +
+                    """"rate":10.0,"low_price":3.0,"ready_s":10.0,"yards":["a","b"]}]}""",
+                CatalogRecord(World.CATALOG),
+            ),
+        )
+    }
+}
--- a/src/test/kotlin/plankwall/WireTest.kt
+++ b/src/test/kotlin/plankwall/WireTest.kt
@@ -5,9 +5,12 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import plankwall.core.JobBook
 import plankwall.model.GroupKey
+import plankwall.model.JobStage
+import plankwall.model.JobView
 import plankwall.model.Priority
 import plankwall.model.Resources
 import plankwall.model.Shape
@@ -66,6 +69,37 @@
         assertThrows(BadMessage::class.java) { JobCodec.read(body.encodeToByteArray()) }
     }
 
+    @ParameterizedTest(name = "awaits {0}")
+    @CsvSource(
+        "'', ''", "'null', ''", "'[]', ''", "'[\"job-000398\"]', job-000398", "'[\"job-2\",\"job-1\",\"job-2\"]', job-2 job-1",
+    )
+    fun `dependencies are read, stored and shown`(value: String, expected: String) {
+        val body = if (value.isEmpty()) good else good.replace("\"due_s\"", "\"awaits\":$value,\"due_s\"")
+        val spec = JobCodec.read(body.encodeToByteArray())
+        assertEquals(expected, spec.dependencies.joinToString(" "))
+        val record = JobRecord(spec, 5, 0, 100)
+        val data = StateCodec.txn(StateOp.Txn(emptyList(), listOf(Write.Put(Keys.job(spec.id), record)))).decodeToString().substringAfter("\"data\":").removeSuffix("}]}")
+        assertEquals(record, (StateCodec.item("""{"data":$data,"stamp":7,"key":"j/job-000412"}""".encodeToByteArray()) as StateResult.Item).item?.value)
+        val shown = JobCodec.view(JobView(spec.id, JobStage.PENDING, 0, 0, spec.dependencies)).decodeToString()
+        assertEquals(expected.isNotEmpty(), "awaits" in shown, shown)
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = ["3", "\"job-000398\"", "{}", "[3]", "[null]", "[\"job-x\"]", "[[\"job-000398\"]]", "[\"job-000412\"]", "MANY"])
+    fun `bad dependencies are refused by the field's name`(value: String) {
+        fun body(list: String) = good.replace("\"due_s\"", "\"awaits\":$list,\"due_s\"").encodeToByteArray()
+        fun names(n: Int) = (1..n).joinToString(",", "[", "]") { "\"job-1%05d\"".format(it) }
+        assertEquals(JobCodec.MAX_DEPENDENCIES, JobCodec.read(body(names(JobCodec.MAX_DEPENDENCIES))).dependencies.size)
+        val e = assertThrows(BadMessage::class.java) { JobCodec.read(body(if (value == "MANY") names(JobCodec.MAX_DEPENDENCIES + 1) else value)) }
+        assertTrue(e.message.orEmpty().startsWith("awaits: "), e.message)
+    }
+
+    @Test
+    fun `the most dependencies fit a stored value of two KiB`() {
+        val spec = JobCodec.read(good.encodeToByteArray()).copy(dependencies = List(JobCodec.MAX_DEPENDENCIES) { "job-%06d".format(it) })
+        assertTrue(StateCodec.sizeOf(JobRecord(spec, 1_700_000_000_000, 1_700_000_000_000, 28)) <= 2048)
+    }
+
     @ParameterizedTest
     @ValueSource(
         strings = [
