--- a/src/main/kotlin/plankwall/wire/JobCodec.kt
+++ b/src/main/kotlin/plankwall/wire/JobCodec.kt
@@ -164,6 +164,22 @@
         g.jobIds("awaits", s.dependencies)
     }
 
+    /** A description, checked, that also waits for [more]. */
+    fun withDependencies(description: ByteArray, more: List<String>): ByteArray {
+        val spec = read(description)
+        val all = writeJson { obj { write(this, spec.copy(dependencies = (spec.dependencies + more).distinct())) } }
+        // Read again, so that what was added is held to the same rules.
+        read(all)
+        return all
+    }
+
+    /** Whether an answer to a poll says that the job is over. */
+    fun isOver(view: ByteArray): Boolean = parseJson(view) { p ->
+        var stage = ""
+        p.fields { name -> if (name == "stage") stage = text(name) }
+        stage == stageName(JobStage.DONE) || stage == stageName(JobStage.WITHDRAWN)
+    }
+
     private fun stageName(stage: JobStage): String = stage.name.lowercase()
 
     fun accepted(view: JobView): ByteArray = writeJson {
