--- a/src/main/kotlin/plankwall/core/Context.kt
+++ b/src/main/kotlin/plankwall/core/Context.kt
@@ -70,8 +70,6 @@
     private var left = perSecond
     private var at = 0.0
 
-    /** The most that can be taken at once. */
-    val burst: Int get() = perSecond.toInt()
 
     fun available(): Double {
         left = minOf(perSecond, left + (time.now - at) * perSecond)
@@ -90,6 +88,13 @@
         left -= n
         return true
     }
+
+    /** Like [take], but what exceeds the whole burst is let through when it is full, or it would be refused for ever. */
+    fun takeOrBorrow(n: Int): Boolean {
+        if (available() < minOf(n.toDouble(), perSecond)) return false
+        left -= n
+        return true
+    }
 }
 
 /** What all parts of the core share. */
--- a/src/main/kotlin/plankwall/core/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/FrontDesk.kt
@@ -119,7 +119,7 @@
             val names = finder.unheardOf(spec.dependencies)
             when {
                 !fresh -> visit.unread()
-                !affordable(names.size) -> visit.tooMany()
+                !calls.takeOrBorrow(names.size) -> visit.tooMany()
                 else -> finder.readEnds(names) { without ->
                     when {
                         without == null -> visit.unread()
@@ -131,17 +131,14 @@
         }
     }
 
-    /** One that names more than the whole budget is let through when it is full, or it would be refused for ever. */
-    private fun affordable(reads: Int): Boolean =
-        reads == 0 || calls.take(minOf(reads, calls.burst)).also { if (it) calls.spend((reads - calls.burst).coerceAtLeast(0)) }
-
     private fun store(visit: Visit, record: JobRecord) {
         val spec = record.spec
         val guards = listOf(Guard(Keys.job(spec.id), 0), Guard(Keys.final(spec.id), 0))
         ctx.out.state(StateOp.Txn(guards, listOf(Write.Put(Keys.job(spec.id), record)))) { result ->
             when (result) {
                 is StateResult.Committed -> {
-                    log.info("job {} accepted: {} tasks of {} for {}, after {}", spec.id, spec.tasks, spec.jobClass, spec.team, spec.dependencies)
+                    log.info("job {} accepted: {} tasks of {} for {}", spec.id, spec.tasks, spec.jobClass, spec.team)
+                    if (spec.dependencies.isNotEmpty()) log.info("job {} waits for {}", spec.id, spec.dependencies)
                     visit.accepted(201, JobView(spec.id, JobStage.PENDING, 0, 0))
                 }
                 // Known already, or an earlier unanswered try of the same submission went through.
@@ -211,15 +208,16 @@
      */
     private fun settle(visit: Visit, id: String, then: (withdrawn: Boolean) -> Unit) {
         val names = finder.unsettled(id)
-        when {
-            !affordable(names.size) -> visit.tooMany()
-            else -> finder.readEnds(names) { without ->
-                if (without == null) {
-                    visit.unread()
-                } else {
-                    finder.unsettled(id)
-                    then(ledger.isWithdrawn(id))
-                }
+        if (names.isNotEmpty() && !calls.takeOrBorrow(names.size)) {
+            visit.tooMany()
+            return
+        }
+        finder.readEnds(names) { without ->
+            if (without == null) {
+                visit.unread()
+            } else {
+                finder.unsettled(id)
+                then(ledger.isWithdrawn(id))
             }
         }
     }
--- a/src/main/kotlin/plankwall/core/Pipelines.kt
+++ b/src/main/kotlin/plankwall/core/Pipelines.kt
@@ -31,20 +31,21 @@
         val id = job.spec.id
         missing.remove(id)
         val names = job.spec.dependencies
+        pull(job)
         if (names.isEmpty()) {
-            pull(job)
             becameReady(job)
             return
         }
         spread(id, graph.add(id, names))
         names.filter { find(it) == null }.forEach { missing[it] = ctx.now }
-        pull(job)
+        raiseNeeded(job)
     }
 
     /** [job] is stored as withdrawn by its user, or follows one that is. */
     fun withdrawn(job: Job) {
         spread(job.spec.id, graph.withdrawn(job.spec.id))
-        job.spec.dependencies.forEach { name -> find(name)?.let { pull(it) } }
+        // It raises nothing any more; where all go with it, nothing is to be done for them either.
+        job.spec.dependencies.mapNotNull(find).filter { !it.withdrawn }.forEach(::pull)
     }
 
     /** The final record of [id] says how it ended; [atMs] 0 where an older version wrote it. */
@@ -70,7 +71,8 @@
     fun tick() {
         if (missing.isEmpty()) return
         for ((id, at) in missing.entries.toList()) {
-            if (ctx.now < at) continue
+            if (graph.dependentsOf(id).isEmpty()) missing.remove(id)
+            if (ctx.now < at || id !in missing) continue
             if (reading >= MAX_READING || !store.mayRead()) return
             missing[id] = ctx.now + RETRY_S
             reading++
@@ -92,14 +94,32 @@
             val job = next.removeFirst()
             val needing = graph.dependentsOf(job.spec.id).mapNotNull(find).filter { !it.withdrawn }
             val priority = needing.maxOfOrNull { it.priority }?.let { maxOf(it, job.spec.priority) } ?: job.spec.priority
-            val due = minOf(job.ownDueMs, needing.minOfOrNull { it.dueMs - lastsMs(it) } ?: Long.MAX_VALUE)
-            if (job !== from && priority == job.priority && due == job.dueMs) continue
+            val due = minOf(job.ownDueMs, needing.minOfOrNull { startByMs(it) } ?: Long.MAX_VALUE)
+            if (priority == job.priority && due == job.dueMs) continue
             job.priority = priority
             job.dueMs = due
-            job.spec.dependencies.forEach { name -> find(name)?.let { next.addLast(it) } }
+            next.addAll(job.spec.dependencies.mapNotNull(find))
+        }
+    }
+
+    /** What [from] needs counts at least as much as it does. One more dependent can only raise, so no others are looked at. */
+    private fun raiseNeeded(from: Job) {
+        val next = ArrayDeque(listOf(from))
+        while (next.isNotEmpty()) {
+            val job = next.removeFirst()
+            val startBy = startByMs(job)
+            for (needed in job.spec.dependencies.mapNotNull(find)) {
+                if (needed.priority >= job.priority && needed.dueMs <= startBy) continue
+                needed.priority = maxOf(needed.priority, job.priority)
+                needed.dueMs = minOf(needed.dueMs, startBy)
+                next.addLast(needed)
+            }
         }
     }
 
+    /** By when [job] must start: what it needs must be over by then. */
+    private fun startByMs(job: Job): Long = if (job.dueMs == Long.MAX_VALUE) Long.MAX_VALUE else job.dueMs - lastsMs(job)
+
     /** How long [job] should take from its start, the fetch of its image included. */
     private fun lastsMs(job: Job): Long {
         val fetch = fleet.catalog?.types?.maxOfOrNull { it.fetchS(job.spec.imageGb) } ?: 0.0
--- a/src/test/kotlin/plankwall/PipelineDaysTest.kt
+++ b/src/test/kotlin/plankwall/PipelineDaysTest.kt
@@ -11,7 +11,9 @@
 import plankwall.model.Priority
 import plankwall.model.Shape
 import plankwall.model.StateLimits
+import plankwall.sim.CoreParts
 import plankwall.sim.World
+import plankwall.wire.JobRecord
 
 /** Jobs that wait for others, on whole sites in virtual time. */
 class PipelineDaysTest {
@@ -203,6 +205,20 @@
         world.assertSound()
     }
 
+    @Test
+    fun `priority and deadline travel up a chain, and back when what raised them is withdrawn`() {
+        val parts = CoreParts()
+        val (first, second) = listOf(World.job(1, priority = Priority.LOW), World.job(2, priority = Priority.LOW, after = listOf(1))).map { parts.learn(it) }
+        assertEquals(listOf(Priority.LOW, Long.MAX_VALUE), listOf(first.priority, first.dueMs))
+        val last = parts.learn(World.job(3, priority = Priority.HIGH, after = listOf(2)).copy(deadlineS = 100.0))
+        assertEquals(listOf(Priority.HIGH, Priority.HIGH), listOf(first.priority, second.priority))
+        // What comes after takes 20 s to run and 2 s to fetch its image.
+        assertEquals(listOf(last.dueMs - 22_000, last.dueMs - 44_000), listOf(second.dueMs, first.dueMs))
+        parts.book.learn(last.spec.id, JobRecord(last.spec, 1, 2, 100), 9)
+        assertEquals(listOf(Priority.LOW, Priority.LOW), listOf(first.priority, second.priority))
+        assertEquals(listOf(Long.MAX_VALUE, Long.MAX_VALUE), listOf(first.dueMs, second.dueMs))
+    }
+
     @ParameterizedTest
     @ValueSource(longs = [81, 82, 83])
     fun `a site is rolled node by node under load while limits shrink`(seed: Long) {
