Revert: a gang's tasks fetch while machines for the others are on their way

Cause looked at: gangs of eight are placed 44 to 91 s after their submission, when the slowest of several boots is over, and only then fetch. Tried: those that have room start fetching under the gang's attempt as soon as machines for the others arrive. The last machine's own fetch decides when a gang starts, and pinned machines do nothing else meanwhile.

--- a/src/main/kotlin/plankwall/core/GangPlacer.kt
+++ b/src/main/kotlin/plankwall/core/GangPlacer.kt
@@ -13,9 +13,6 @@
     private val log = LoggerFactory.getLogger("placer")
     private val held = HashMap<Job, Int>()
 
-    /** Arriving machines that gangs looked at earlier in this pass count on. */
-    private val counted = HashSet<String>()
-
     /** Whether the rental loop would rent in a group now. */
     var mayExpand: (GroupKey) -> Boolean = { true }
 
@@ -25,32 +22,26 @@
     private class Seat(val machine: Machine, val score: Double, val wait: Double)
 
     /** What was kept is kept for one pass; a job that is over must not be remembered. */
-    fun beginPass() {
-        held.clear()
-        counted.clear()
-    }
+    fun beginPass() = held.clear()
 
     /** The number of tasks placed. */
     fun place(job: Job, roomy: List<Machine>, usable: List<Machine>): Int {
-        // Nothing may be left of an earlier attempt.
-        if (job.placements.isEmpty()) job.assembly = NONE else if (!job.assembling) return 0
-        if (!book.withinLimit(job.team, job.spec.need * job.waiting.size)) return 0
+        // Nothing may be left of its last attempt.
+        if (job.placements.isNotEmpty() || !book.withinLimit(job.team, job.spec.need * job.waiting.size)) return 0
         val seats = seats(job, roomy)
         val choices: Map<String?, List<Seat>> = if (job.spec.oneZone) seats.groupBy { it.machine.group?.zone } else mapOf(null to seats)
         val complete = choices.values.map { fill(job, it) }.filter { it.size == job.waiting.size }
         val chosen = complete.minByOrNull { seated -> seated.maxOf { it.wait } }
-        if (chosen == null) return gather(job, choices, usable)
-        seat(job, chosen)
-        job.assembly = NONE
+        if (chosen == null) {
+            gather(job, choices, usable)
+            return 0
+        }
+        val attempt = book.newAttempt()
+        job.waiting.toList().zip(chosen).forEach { (task, seat) -> book.place(job, task, seat.machine, attempt) }
         job.gatherZone = null
         return chosen.size
     }
 
-    private fun seat(job: Job, seats: List<Seat>) {
-        if (job.assembly == NONE) job.assembly = book.newAttempt()
-        job.waiting.toList().zip(seats).forEach { (task, seat) -> book.place(job, task, seat.machine, job.assembly) }
-    }
-
     private fun seats(job: Job, roomy: List<Machine>): List<Seat> {
         val zones = ZoneRule(job)
         val found = ArrayList<Seat>()
@@ -79,8 +70,7 @@
         return taken
     }
 
-    /** The number of tasks placed. */
-    private fun gather(job: Job, choices: Map<String?, List<Seat>>, usable: List<Machine>): Int {
+    private fun gather(job: Job, choices: Map<String?, List<Seat>>, usable: List<Machine>) {
         if (job.gatherZone == null && !(choices.isEmpty() && job.gatherSince > 0)) {
             job.gatherZone = choices.maxByOrNull { it.value.size }?.key
             job.gatherSince = ctx.now
@@ -90,42 +80,11 @@
         val patience = patienceS(job)
         if (ctx.now - job.gatherSince > patience) {
             if (ctx.now - job.gatherSince > 2 * patience) job.gatherZone = null
-            job.placements.values.toList().forEach { book.stop(it, StopCause.GANG, 0.0) }
-            return 0
+            return
         }
         val kept = fill(job, choices[if (job.spec.oneZone) job.gatherZone else null].orEmpty())
-        val there = kept.mapTo(HashSet()) { it.machine }
-        val early = kept.isNotEmpty() && restIsComing(job, job.waiting.size - kept.size)
-        if (early) {
-            log.info("job {}: {} of {} tasks start fetching, machines for the others are on their way", job.spec.id, kept.size, job.spec.tasks)
-            seat(job, kept)
-        } else {
-            kept.forEach { it.machine.held += job.spec.need }
-        }
-        val placed = if (early) kept.size else 0
-        held[job] = kept.size - placed + empty(job, usable, there, job.waiting.size + placed - kept.size)
-        return placed
-    }
-
-    /**
-     * Whether machines arrive that no earlier gang counts on and that the [missing] tasks fit. Then those that have room
-     * may fetch their images already; left until the last machine is there, the slowest of all fetches comes on top. What
-     * merely hopes for room must not sit on some: another gang might do the same, and both would wait for ever.
-     */
-    private fun restIsComing(job: Job, missing: Int): Boolean {
-        var left = missing
-        val used = ArrayList<String>()
-        for (a in fleet.arrivals.values) {
-            if (left <= 0) break
-            val type = fleet.catalog?.get(a.group.type) ?: continue
-            if (a.machine in counted || !Placer.allowed(job.spec, a.group)) continue
-            if (job.gatherZone != null && a.group.zone != job.gatherZone) continue
-            if (ctx.now - a.rentedAt > type.bootS * OVERDUE) continue
-            left -= type.capacity.holds(job.spec.need)
-            used.add(a.machine)
-        }
-        counted.addAll(used)
-        return left <= 0
+        kept.forEach { it.machine.held += job.spec.need }
+        held[job] = kept.size + empty(job, usable, kept.mapTo(HashSet()) { it.machine }, job.waiting.size - kept.size)
     }
 
     /** Keeps free whatever comes free on machines that should have room sooner than new ones could be had. */
@@ -154,9 +113,5 @@
     private companion object {
         /** Estimates are often too low: only what should come much sooner than a new machine is waited for instead. */
         const val SURELY_SOONER = 0.5
-
-        /** Boots usually take up to half as long again; later ones may never come. */
-        const val OVERDUE = 1.5
-        const val NONE = Job.NO_ASSEMBLY
     }
 }
--- a/src/main/kotlin/plankwall/core/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/Jobs.kt
@@ -158,14 +158,6 @@
 
     private fun fitFor(priority: Priority) = FitKey(spec.need, spec.types, spec.zone, spec.spot, priority)
 
-    /**
-     * The attempt under which tasks of a gang were placed while others still lack a seat. They fetch their images; the
-     * last one to be placed under it completes the gang.
-     */
-    var assembly = NO_ASSEMBLY
-
-    val assembling: Boolean get() = assembly != NO_ASSEMBLY && placements.values.all { it.attempt == assembly && it.stopping == null }
-
     /** The zone in which room for a gang is being gathered, and since when. */
     var gatherZone: String? = null
     var gatherSince = 0.0
@@ -205,8 +197,7 @@
 
     val complete: Boolean get() = doneCount == spec.tasks
 
-    companion object {
-        private const val NO_DEMAND = -1
-        const val NO_ASSEMBLY = 0L
+    private companion object {
+        const val NO_DEMAND = -1
     }
 }
--- a/src/main/kotlin/plankwall/core/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/Preemptor.kt
@@ -19,7 +19,7 @@
 
     fun makeRoom(job: Job, usable: List<Machine>) {
         if (job.priority <= Priority.LOW && !job.guaranteed) return
-        if (job.isGang && job.placements.isNotEmpty() && !job.assembling) return
+        if (job.isGang && job.placements.isNotEmpty()) return
         if (job.isGangOfSeveral) {
             makeRoomForGang(job, usable)
             return
--- a/src/main/kotlin/plankwall/core/WorkerDesk.kt
+++ b/src/main/kotlin/plankwall/core/WorkerDesk.kt
@@ -143,7 +143,7 @@
      */
     private fun waitsOn(p: Placement, t: TaskReport): Boolean = t.cause == ExitCause.ALONE && p.stopping == null && !p.ended &&
         !p.machine.returning && p.machine.noticeAt == Machine.NEVER && !p.job.withdrawn &&
-        (p.job.placements.size == p.job.spec.tasks - p.job.doneCount || p.job.assembling) && p.job.placements.values.none { it.stopping != null }
+        p.job.placements.size == p.job.spec.tasks - p.job.doneCount && p.job.placements.values.none { it.stopping != null }
 
     private fun tryAgain(p: Placement, orders: ArrayList<Order>, overtaken: Boolean) {
         // Only a check-in's answer is never executed late, and only its newest word shows that the exit still stands.
