--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -96,16 +96,22 @@
         handOverIfCutOff()
     }
 
-    /** The workers can't reach us and turn up at a peer instead: whoever they reach should lead. */
+    /**
+     * Most workers have missed a report here, and either turn up at peers instead, or no peer is heard any more, which
+     * leaves nobody to tell of it: whoever they can reach should lead, and soon, for their leases are running out.
+     */
     private fun handOverIfCutOff() {
         val known = fleet.machines.filter { it.registered && !it.returning }
         if (known.size < 2 || ctx.now < leadership.wonAt + HAND_OVER_AFTER_S || !leadership.mayWrite) return
-        val silent = known.count { !fleet.isReady(it) }
+        val missed = ctx.settings.workers.reportS * MISSED_REPORTS + 1.0
+        val silent = known.count { ctx.now - it.lastHeard > missed }
         if (silent * 2 <= known.size) return
-        val peer = leadership.livePeers().filter { it.stateReachable }.maxByOrNull { it.strayWorkers } ?: return
-        if (peer.strayWorkers * 2 > known.size) {
-            leadership.yield("$silent of ${known.size} machines silent here, ${peer.strayWorkers} turn up at ${peer.node}", dropLease = true)
-        }
+        val peers = leadership.livePeers()
+        val strays = peers.filter { it.stateReachable }.sumOf { it.strayWorkers }
+        val alone = peers.isEmpty() && ctx.settings.peers.isNotEmpty()
+        if (!alone && strays * 2 <= known.size) return
+        val elsewhere = if (alone) "no peer is heard" else "$strays turn up at peers"
+        leadership.yield("$silent of ${known.size} machines silent here, $elsewhere", dropLease = true)
     }
 
     /** The orders for a check-in, or null if it must be refused. */
@@ -189,6 +195,9 @@
 
     private companion object {
         const val HAND_OVER_AFTER_S = 20.0
+
+        /** Reports come up to a quarter late. */
+        const val MISSED_REPORTS = 1.5
         const val WATCH_MS = 8_000L
         const val MAX_ANNOUNCED = 6
         const val ANNOUNCE_S = 2.0
--- a/src/test/kotlin/plankwall/RentalDaysTest.kt
+++ b/src/test/kotlin/plankwall/RentalDaysTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import plankwall.model.Shape
 import plankwall.model.Tuning
 import plankwall.sim.World
@@ -101,15 +102,17 @@
         assertEquals(emptyList<String>(), world.checker.broken)
     }
 
-    @Test
-    fun `the leader hands over when only it is cut off from the workers`() {
+    @ParameterizedTest
+    @ValueSource(strings = ["workers", "workers peers"])
+    fun `the leader hands over when it is cut off, before the workers' leases run out`(cut: String) {
         val world = world()
         world.clock.after(2.0) { world.submit(World.job(1, Shape.SERVICE, tasks = 12)) }
         world.clock.runUntil(45.0)
         val first = world.nodes.first { it.leading }
-        world.cuts.add("${first.name}-workers")
+        cut.split(' ').forEach { world.cuts.add("${first.name}-$it") }
         world.clock.runUntil(75.0)
         assertTrue(world.nodes.any { it.leading && it !== first }, "no other node leads")
+        assertEquals(12, world.checker.starts, "replicas were started anew")
         assertEquals(emptyList<String>(), world.checker.broken)
     }
 }
