A leader left alone gives up only when every machine is silent

Cause, found by reading the change again: a leader whose peers are all away and most of whose machines died gave up its lease every 23 s, and each take-over starts anew the time until it may conclude anything from silence; what ran on the dead machines was not started again.

--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -97,8 +97,9 @@
     }
 
     /**
-     * Most workers have missed a report here, and either turn up at peers instead, or no peer is heard any more, which
-     * leaves nobody to tell of it: whoever they can reach should lead, and soon, for their leases are running out.
+     * Most workers have missed a report here and turn up at peers instead: whoever they can reach should lead, and soon,
+     * for their leases are running out. Where no peer is heard that could tell of it, all must be silent: a leader whose
+     * peers and most of whose machines are in another zone, which is cut off, has to go on with the rest.
      */
     private fun handOverIfCutOff() {
         val known = fleet.machines.filter { it.registered && !it.returning }
@@ -108,7 +109,7 @@
         if (silent * 2 <= known.size) return
         val peers = leadership.livePeers()
         val strays = peers.filter { it.stateReachable }.sumOf { it.strayWorkers }
-        val alone = peers.isEmpty() && ctx.settings.peers.isNotEmpty()
+        val alone = peers.isEmpty() && ctx.settings.peers.isNotEmpty() && silent == known.size
         if (!alone && strays * 2 <= known.size) return
         val elsewhere = if (alone) "no peer is heard" else "$strays turn up at peers"
         leadership.yield("$silent of ${known.size} machines silent here, $elsewhere", dropLease = true)
--- a/src/test/kotlin/plankwall/RentalDaysTest.kt
+++ b/src/test/kotlin/plankwall/RentalDaysTest.kt
@@ -102,6 +102,20 @@
         assertEquals(emptyList<String>(), world.checker.broken)
     }
 
+    @Test
+    fun `a leader left alone with a few machines goes on, and replaces the others`() {
+        val world = world()
+        world.clock.after(2.0) { world.submit(World.job(1, Shape.SERVICE, tasks = 16)) }
+        world.clock.runUntil(45.0)
+        val first = world.nodes.first { it.leading }
+        world.nodes.filter { it !== first }.forEach { it.crash(200.0) }
+        world.cloud.workers.take(3).forEach { it.die() }
+        world.clock.runUntil(90.0)
+        assertTrue(first.leading)
+        assertEquals(16 + 12, world.checker.starts, "not replaced, or the leader gave up its proof of what is gone")
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+
     @ParameterizedTest
     @ValueSource(strings = ["workers", "workers peers"])
     fun `the leader hands over when it is cut off, before the workers' leases run out`(cut: String) {
