--- a/src/test/kotlin/plankwall/VersionsTest.kt
+++ b/src/test/kotlin/plankwall/VersionsTest.kt
@@ -11,6 +11,8 @@
 import plankwall.model.JobStage
 import plankwall.model.Priority
 import plankwall.model.Shape
+import plankwall.sim.RecordJson.decode
+import plankwall.sim.RecordJson.encode
 import plankwall.sim.SimWorker
 import plankwall.sim.World
 import plankwall.wire.CatalogRecord
@@ -25,15 +27,11 @@
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
 import plankwall.wire.ProgressNews
-import plankwall.wire.StateCodec
 import plankwall.wire.StateItem
-import plankwall.wire.StateOp
-import plankwall.wire.StateResult
 import plankwall.wire.Stored
 import plankwall.wire.StoredArrival
 import plankwall.wire.StoredPlacement
 import plankwall.wire.StoredRental
-import plankwall.wire.Write
 import java.util.BitSet
 
 /** What the first version stored and sent, taken from running it, and what it makes of what this one stores and sends. */
@@ -42,12 +40,6 @@
         override fun toString() = "$key ${json.take(40)}"
     }
 
-    private fun encode(record: Stored): String =
-        StateCodec.txn(StateOp.Txn(emptyList(), listOf(Write.Put("x", record)))).decodeToString().substringAfter("\"data\":").removeSuffix("}]}")
-
-    private fun decode(key: String, json: String): Stored? =
-        (StateCodec.item("""{"key":"$key","data":$json,"stamp":7}""".encodeToByteArray()) as StateResult.Item).item?.value
-
     @ParameterizedTest(name = "{0}")
     @MethodSource("firstVersion")
     fun `what the first version stored is read, and written alike where nothing new is in it`(case: Case) {
--- a/src/test/kotlin/plankwall/WireTest.kt
+++ b/src/test/kotlin/plankwall/WireTest.kt
@@ -14,6 +14,7 @@
 import plankwall.model.Priority
 import plankwall.model.Resources
 import plankwall.model.Shape
+import plankwall.sim.RecordJson
 import plankwall.wire.BadMessage
 import plankwall.wire.FleetRecord
 import plankwall.wire.JobCodec
@@ -26,7 +27,6 @@
 import plankwall.wire.ProgressNews
 import plankwall.wire.StateCodec
 import plankwall.wire.StateOp
-import plankwall.wire.StateResult
 import plankwall.wire.StoredArrival
 import plankwall.wire.StoredPlacement
 import plankwall.wire.StoredRental
@@ -46,10 +46,7 @@
         assertEquals(Priority.HIGH, spec.priority)
         assertEquals(Resources(8_000, 1_000, 64_000), spec.need)
         val record = JobRecord(spec, 5, 0, 100)
-        val txn = StateCodec.txn(StateOp.Txn(emptyList(), listOf(Write.Put(Keys.job(spec.id), record)))).decodeToString()
-        val data = txn.substringAfter("\"data\":").removeSuffix("}]}")
-        val item = StateCodec.item("""{"data":$data,"stamp":7,"key":"j/job-000412"}""".encodeToByteArray()) as StateResult.Item
-        assertEquals(record, item.item?.value)
+        assertEquals(record, RecordJson.decode(Keys.job(spec.id), RecordJson.encode(record)))
     }
 
     @ParameterizedTest
@@ -78,8 +75,7 @@
         val spec = JobCodec.read(body.encodeToByteArray())
         assertEquals(expected, spec.dependencies.joinToString(" "))
         val record = JobRecord(spec, 5, 0, 100)
-        val data = StateCodec.txn(StateOp.Txn(emptyList(), listOf(Write.Put(Keys.job(spec.id), record)))).decodeToString().substringAfter("\"data\":").removeSuffix("}]}")
-        assertEquals(record, (StateCodec.item("""{"data":$data,"stamp":7,"key":"j/job-000412"}""".encodeToByteArray()) as StateResult.Item).item?.value)
+        assertEquals(record, RecordJson.decode(Keys.job(spec.id), RecordJson.encode(record)))
         val shown = JobCodec.view(JobView(spec.id, JobStage.PENDING, 0, 0, spec.dependencies)).decodeToString()
         assertEquals(expected.isNotEmpty(), "awaits" in shown, shown)
     }
@@ -137,10 +133,7 @@
         val returning = (0 until 200).map { "i-%06d".format(2000 + it * 3) }
         val record = FleetRecord(listOf(StoredRental("r-7-1", group, 50)), arrivals, returning)
         assertTrue(StateCodec.sizeOf(record) < 8 * 1024, "${StateCodec.sizeOf(record)} bytes")
-        val data = StateCodec.txn(StateOp.Txn(emptyList(), listOf(Write.Put(Keys.FLEET, record)))).decodeToString()
-            .substringAfter("\"data\":").removeSuffix("}]}")
-        val item = StateCodec.item("""{"key":"fleet","data":$data,"stamp":7}""".encodeToByteArray()) as StateResult.Item
-        assertEquals(record, item.item?.value)
+        assertEquals(record, RecordJson.decode(Keys.FLEET, RecordJson.encode(record)))
     }
 
     @ParameterizedTest
