Core: seven packages by what their parts guard, directions held by a test

Need: 38 files side by side did not say which rule a file guards. Moved, not changed: Arrival stands with the fleet that keeps it, the page size with the limits it follows from, the teller of progress with the jobs it tells of. ArchUnit holds who may use whom.

--- a/src/main/kotlin/plankwall/core/Controller.kt
+++ b/src/main/kotlin/plankwall/core/Controller.kt
@@ -1,5 +1,12 @@
 package plankwall.core
 
+import plankwall.core.front.FrontDesk
+import plankwall.core.front.Market
+import plankwall.core.front.ProgressBoard
+import plankwall.core.lead.Leadership
+import plankwall.core.step.Context
+import plankwall.core.step.Effect
+import plankwall.core.step.Input
 import plankwall.model.Settings
 import plankwall.model.Tuning
 import plankwall.wire.JobCodec
--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -1,6 +1,20 @@
 package plankwall.core
 
 import org.slf4j.LoggerFactory
+import plankwall.core.front.Market
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.JobBook
+import plankwall.core.jobs.Machine
+import plankwall.core.jobs.ProgressTeller
+import plankwall.core.lead.Divided
+import plankwall.core.lead.LeaderStore
+import plankwall.core.lead.Leadership
+import plankwall.core.lead.Upgrade
+import plankwall.core.placing.Placer
+import plankwall.core.rental.RentalLoop
+import plankwall.core.step.Context
+import plankwall.core.step.Effect
+import plankwall.core.workers.WorkerDesk
 import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
--- a/src/main/kotlin/plankwall/core/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/front/FrontDesk.kt
@@ -1,6 +1,11 @@
-package plankwall.core
+package plankwall.core.front
 
 import org.slf4j.LoggerFactory
+import plankwall.core.lead.Leadership
+import plankwall.core.lead.StoreLimits
+import plankwall.core.step.Budget
+import plankwall.core.step.Context
+import plankwall.core.step.RequestId
 import plankwall.model.Catalog
 import plankwall.model.JobSpec
 import plankwall.model.JobStage
@@ -84,7 +89,7 @@
             return
         }
         val visit = visit(request, 1) ?: return
-        val record = JobRecord(spec, ctx.time.wallMs, 0, JobBook.pageSize(ctx.settings.stateTight.valueKb))
+        val record = JobRecord(spec, ctx.time.wallMs, 0, StoreLimits.pageSize(ctx.settings.stateTight.valueKb))
         // Judged once, by the catalogue of this moment: one that arrives during the look-up must not turn
         // "not known yet" into "can never run".
         val catalog = market.catalog
--- a/src/main/kotlin/plankwall/core/JobFinder.kt
+++ b/src/main/kotlin/plankwall/core/front/JobFinder.kt
@@ -1,5 +1,6 @@
-package plankwall.core
+package plankwall.core.front
 
+import plankwall.core.step.Context
 import plankwall.wire.FinalRecord
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
--- a/src/main/kotlin/plankwall/core/JobLedger.kt
+++ b/src/main/kotlin/plankwall/core/front/JobLedger.kt
@@ -1,6 +1,8 @@
-package plankwall.core
+package plankwall.core.front
 
 import org.slf4j.LoggerFactory
+import plankwall.core.jobs.Dependencies
+import plankwall.core.step.Context
 import plankwall.model.JobStage
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
--- a/src/main/kotlin/plankwall/core/Market.kt
+++ b/src/main/kotlin/plankwall/core/front/Market.kt
@@ -1,5 +1,7 @@
-package plankwall.core
+package plankwall.core.front
 
+import plankwall.core.lead.Divided
+import plankwall.core.step.Context
 import plankwall.model.Catalog
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
--- a/src/main/kotlin/plankwall/core/Dependencies.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Dependencies.kt
@@ -1,4 +1,6 @@
-package plankwall.core
+package plankwall.core.jobs
+
+import plankwall.core.rental.Returns
 
 /**
  * Which jobs wait for which others, and what follows from how those end. A job may start when all that it names are done;
--- a/src/main/kotlin/plankwall/core/Fleet.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Fleet.kt
@@ -1,11 +1,15 @@
-package plankwall.core
+package plankwall.core.jobs
 
+import plankwall.core.step.Context
 import plankwall.model.Catalog
 import plankwall.model.GroupKey
 import plankwall.model.MachineIx
 import plankwall.wire.ListedMachine
 import plankwall.wire.Report
 
+/** A machine that was rented and has not registered yet. */
+class Arrival(val machine: String, val group: GroupKey, val rentedAt: Double, val rentedMs: Long)
+
 /** All machines that the leader knows, by name and by index. */
 class Fleet(private val ctx: Context) {
     private val byId = LinkedHashMap<String, Machine>()
--- a/src/main/kotlin/plankwall/core/JobBook.kt
+++ b/src/main/kotlin/plankwall/core/jobs/JobBook.kt
@@ -1,6 +1,8 @@
-package plankwall.core
+package plankwall.core.jobs
 
 import org.slf4j.LoggerFactory
+import plankwall.core.lead.LeaderStore
+import plankwall.core.step.Context
 import plankwall.model.ImageIx
 import plankwall.model.JobIx
 import plankwall.model.JobStage
@@ -207,8 +209,5 @@
 
     companion object {
         const val ATTEMPTS_PER_EPOCH = 10_000_000L
-
-        /** How many tasks share a page so that the page surely fits a value. */
-        fun pageSize(valueKb: Double): Int = ((valueKb * 1024 - 256) / 64).toInt().coerceIn(8, 256)
     }
 }
--- a/src/main/kotlin/plankwall/core/JobWriter.kt
+++ b/src/main/kotlin/plankwall/core/jobs/JobWriter.kt
@@ -1,6 +1,8 @@
-package plankwall.core
+package plankwall.core.jobs
 
 import org.slf4j.LoggerFactory
+import plankwall.core.lead.LeaderStore
+import plankwall.core.step.Context
 import plankwall.model.JobStage
 import plankwall.wire.FinalRecord
 import plankwall.wire.Guard
--- a/src/main/kotlin/plankwall/core/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Jobs.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.jobs
 
 import plankwall.model.ImageIx
 import plankwall.model.JobIx
--- a/src/main/kotlin/plankwall/core/Machines.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Machines.kt
@@ -1,5 +1,6 @@
-package plankwall.core
+package plankwall.core.jobs
 
+import plankwall.core.placing.Room
 import plankwall.model.GroupKey
 import plankwall.model.ImageIx
 import plankwall.model.MachineIx
--- /dev/null
+++ b/src/main/kotlin/plankwall/core/jobs/ProgressTeller.kt
@@ -0,0 +1,26 @@
+package plankwall.core.jobs
+
+import plankwall.wire.JobProgress
+import plankwall.wire.ProgressNews
+
+/** What the leader tells of its jobs: what changed since it last told, and a part of the rest each time for those who missed it. */
+class ProgressTeller(private val book: JobBook) {
+    private val told = HashMap<String, JobProgress>()
+    private var turn = 0
+
+    fun news(epoch: Long): List<ProgressNews> {
+        turn++
+        val changed = ArrayList<JobProgress>()
+        for (job in book.live) {
+            val now = job.progress
+            if (told.put(now.id, now) != now || (job.ix.value + turn) % REPEAT_EVERY == 0) changed.add(now)
+        }
+        if (told.size > book.live.size) told.keys.retainAll { book.find(it) != null }
+        return changed.chunked(PER_FRAME).map { ProgressNews(epoch, it) }
+    }
+
+    private companion object {
+        const val REPEAT_EVERY = 15
+        const val PER_FRAME = 500
+    }
+}
--- a/src/main/kotlin/plankwall/core/ZoneRule.kt
+++ b/src/main/kotlin/plankwall/core/jobs/ZoneRule.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.jobs
 
 /**
  * What `one zone` and `spread` allow for the next task of a job, given all its tasks that are not proven gone. A task
--- a/src/main/kotlin/plankwall/core/Divided.kt
+++ b/src/main/kotlin/plankwall/core/lead/Divided.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.lead
 
 import plankwall.model.Catalog
 import plankwall.wire.CatalogRecord
--- a/src/main/kotlin/plankwall/core/Leadership.kt
+++ b/src/main/kotlin/plankwall/core/lead/Leadership.kt
@@ -1,6 +1,7 @@
-package plankwall.core
+package plankwall.core.lead
 
 import org.slf4j.LoggerFactory
+import plankwall.core.step.Context
 import plankwall.wire.Guard
 import plankwall.wire.Keys
 import plankwall.wire.LeaderRecord
--- a/src/main/kotlin/plankwall/core/StoreLimits.kt
+++ b/src/main/kotlin/plankwall/core/lead/StoreLimits.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.lead
 
 import plankwall.model.Settings
 
@@ -22,7 +22,7 @@
     val wholeBytes: Int get() = if (mayDivide) valueBytes else bytes(settings.state.valueKb)
 
     /** How many tasks a page, or a part of one, holds so that it surely fits. */
-    val pageTasks: Int get() = JobBook.pageSize(valueBytes / 1024.0)
+    val pageTasks: Int get() = pageSize(valueBytes / 1024.0)
 
     /**
      * The store will never take a write of [ops] changes whose largest value has [largest] bytes. Beyond the announced
@@ -39,8 +39,11 @@
 
     private fun bytes(kb: Double) = (kb * 1024).toInt()
 
-    private companion object {
-        const val LEAST_BYTES = 1024
-        const val LEAST_OPS = 4
+    companion object {
+        private const val LEAST_BYTES = 1024
+        private const val LEAST_OPS = 4
+
+        /** How many tasks share a page so that the page surely fits a value. */
+        fun pageSize(valueKb: Double): Int = ((valueKb * 1024 - 256) / 64).toInt().coerceIn(8, 256)
     }
 }
--- a/src/main/kotlin/plankwall/core/Upgrade.kt
+++ b/src/main/kotlin/plankwall/core/lead/Upgrade.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.lead
 
 import org.slf4j.LoggerFactory
 import plankwall.wire.Keys
--- a/src/main/kotlin/plankwall/core/GangPlacer.kt
+++ b/src/main/kotlin/plankwall/core/placing/GangPlacer.kt
@@ -1,6 +1,12 @@
-package plankwall.core
+package plankwall.core.placing
 
 import org.slf4j.LoggerFactory
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Job
+import plankwall.core.jobs.JobBook
+import plankwall.core.jobs.Machine
+import plankwall.core.jobs.ZoneRule
+import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.model.Resources
 
--- a/src/main/kotlin/plankwall/core/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/placing/Preemptor.kt
@@ -1,6 +1,14 @@
-package plankwall.core
+package plankwall.core.placing
 
 import org.slf4j.LoggerFactory
+import plankwall.core.jobs.FitKey
+import plankwall.core.jobs.Job
+import plankwall.core.jobs.JobBook
+import plankwall.core.jobs.Machine
+import plankwall.core.jobs.Placement
+import plankwall.core.jobs.StopCause
+import plankwall.core.jobs.ZoneRule
+import plankwall.core.step.Context
 import plankwall.model.Priority
 import plankwall.model.TeamIx
 
--- a/src/main/kotlin/plankwall/core/Room.kt
+++ b/src/main/kotlin/plankwall/core/placing/Room.kt
@@ -1,5 +1,10 @@
-package plankwall.core
+package plankwall.core.placing
 
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Job
+import plankwall.core.jobs.Machine
+import plankwall.core.jobs.ZoneRule
+import plankwall.core.step.Context
 import plankwall.model.MachineType
 import plankwall.model.Resources
 import plankwall.model.Shape
--- a/src/main/kotlin/plankwall/core/WarmRoom.kt
+++ b/src/main/kotlin/plankwall/core/placing/WarmRoom.kt
@@ -1,5 +1,9 @@
-package plankwall.core
+package plankwall.core.placing
 
+import plankwall.core.jobs.Job
+import plankwall.core.jobs.Machine
+import plankwall.core.jobs.ZoneRule
+import plankwall.core.step.Context
 import plankwall.model.Shape
 
 /**
--- a/src/main/kotlin/plankwall/core/ArrivalRate.kt
+++ b/src/main/kotlin/plankwall/core/rental/ArrivalRate.kt
@@ -1,5 +1,6 @@
-package plankwall.core
+package plankwall.core.rental
 
+import plankwall.core.jobs.Job
 import plankwall.model.Resources
 
 /**
--- a/src/main/kotlin/plankwall/core/BootTimes.kt
+++ b/src/main/kotlin/plankwall/core/rental/BootTimes.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.rental
 
 import org.HdrHistogram.Histogram
 import plankwall.model.MachineType
--- a/src/main/kotlin/plankwall/core/CloudList.kt
+++ b/src/main/kotlin/plankwall/core/rental/CloudList.kt
@@ -1,5 +1,10 @@
-package plankwall.core
+package plankwall.core.rental
 
+import plankwall.core.jobs.Arrival
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Machine
+import plankwall.core.lead.LeaderStore
+import plankwall.core.step.Context
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
 import plankwall.wire.ListedMachine
--- a/src/main/kotlin/plankwall/core/ClusterStateRegistry.kt
+++ b/src/main/kotlin/plankwall/core/rental/ClusterStateRegistry.kt
@@ -1,5 +1,9 @@
-package plankwall.core
+package plankwall.core.rental
 
+import plankwall.core.jobs.Arrival
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Machine
+import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.wire.ListedState
 
@@ -107,6 +111,3 @@
     val inGoodShape: Boolean
         get() = unexplained < 3 || unexplained <= registered * ctx.tuning.haltUnreadyShare
 }
-
-/** A machine that was rented and has not registered yet. */
-class Arrival(val machine: String, val group: GroupKey, val rentedAt: Double, val rentedMs: Long)
--- a/src/main/kotlin/plankwall/core/Consolidation.kt
+++ b/src/main/kotlin/plankwall/core/rental/Consolidation.kt
@@ -1,5 +1,7 @@
-package plankwall.core
+package plankwall.core.rental
 
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Machine
 import plankwall.model.Resources
 
 /**
--- a/src/main/kotlin/plankwall/core/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/rental/Estimator.kt
@@ -1,5 +1,12 @@
-package plankwall.core
+package plankwall.core.rental
 
+import plankwall.core.jobs.Job
+import plankwall.core.jobs.JobBook
+import plankwall.core.jobs.Machine
+import plankwall.core.jobs.ZoneRule
+import plankwall.core.placing.Placer
+import plankwall.core.placing.Room
+import plankwall.core.step.Context
 import plankwall.model.Catalog
 import plankwall.model.GroupKey
 import plankwall.model.MachineType
--- a/src/main/kotlin/plankwall/core/FleetMemory.kt
+++ b/src/main/kotlin/plankwall/core/rental/FleetMemory.kt
@@ -1,6 +1,8 @@
-package plankwall.core
+package plankwall.core.rental
 
 import org.slf4j.LoggerFactory
+import plankwall.core.lead.Divided
+import plankwall.core.lead.LeaderStore
 import plankwall.wire.FleetRecord
 import plankwall.wire.Guard
 import plankwall.wire.Keys
--- a/src/main/kotlin/plankwall/core/Growth.kt
+++ b/src/main/kotlin/plankwall/core/rental/Growth.kt
@@ -1,5 +1,8 @@
-package plankwall.core
+package plankwall.core.rental
 
+import plankwall.core.jobs.Job
+import plankwall.core.placing.Room
+import plankwall.core.step.Context
 import plankwall.model.Resources
 import plankwall.model.Shape
 
--- a/src/main/kotlin/plankwall/core/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -1,6 +1,13 @@
-package plankwall.core
+package plankwall.core.rental
 
 import org.slf4j.LoggerFactory
+import plankwall.core.jobs.Arrival
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.JobBook
+import plankwall.core.jobs.Machine
+import plankwall.core.lead.LeaderStore
+import plankwall.core.placing.Placer
+import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
--- a/src/main/kotlin/plankwall/core/Context.kt
+++ b/src/main/kotlin/plankwall/core/step/Context.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.step
 
 import plankwall.model.Settings
 import plankwall.model.SiteNames
--- a/src/main/kotlin/plankwall/core/Messages.kt
+++ b/src/main/kotlin/plankwall/core/step/Messages.kt
@@ -1,4 +1,4 @@
-package plankwall.core
+package plankwall.core.step
 
 import plankwall.model.JobSpec
 import plankwall.wire.CloudOp
--- a/src/main/kotlin/plankwall/core/WorkerDesk.kt
+++ b/src/main/kotlin/plankwall/core/workers/WorkerDesk.kt
@@ -1,6 +1,14 @@
-package plankwall.core
+package plankwall.core.workers
 
 import org.slf4j.LoggerFactory
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Job
+import plankwall.core.jobs.JobBook
+import plankwall.core.jobs.Machine
+import plankwall.core.jobs.Placement
+import plankwall.core.jobs.StopCause
+import plankwall.core.lead.Leadership
+import plankwall.core.step.Context
 import plankwall.model.ImageIx
 import plankwall.model.Shape
 import plankwall.wire.ExitCause
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -10,9 +10,9 @@
 import kotlinx.coroutines.sync.withPermit
 import org.slf4j.LoggerFactory
 import plankwall.core.Controller
-import plankwall.core.Effect
-import plankwall.core.Input
-import plankwall.core.RequestId
+import plankwall.core.step.Effect
+import plankwall.core.step.Input
+import plankwall.core.step.RequestId
 import plankwall.model.Address
 import plankwall.model.Settings
 import plankwall.model.Tuning
--- a/src/test/kotlin/plankwall/BootTimesTest.kt
+++ b/src/test/kotlin/plankwall/BootTimesTest.kt
@@ -3,7 +3,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.BootTimes
+import plankwall.core.rental.BootTimes
 import plankwall.sim.World
 
 /** For how long a machine on its way is counted on, after boots of machines whose type should take 10 s. */
--- a/src/test/kotlin/plankwall/ConsolidationTest.kt
+++ b/src/test/kotlin/plankwall/ConsolidationTest.kt
@@ -3,8 +3,8 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.ArrivalRate
-import plankwall.core.Consolidation
+import plankwall.core.rental.ArrivalRate
+import plankwall.core.rental.Consolidation
 import plankwall.model.Resources
 import plankwall.sim.CoreParts
 import plankwall.sim.World
--- a/src/test/kotlin/plankwall/EstimatorTest.kt
+++ b/src/test/kotlin/plankwall/EstimatorTest.kt
@@ -3,8 +3,8 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.Estimator
-import plankwall.core.Growth
+import plankwall.core.rental.Estimator
+import plankwall.core.rental.Growth
 import plankwall.sim.CoreParts
 import plankwall.sim.World
 
--- a/src/test/kotlin/plankwall/JobLedgerTest.kt
+++ b/src/test/kotlin/plankwall/JobLedgerTest.kt
@@ -2,9 +2,9 @@
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
-import plankwall.core.Context
-import plankwall.core.Effect
-import plankwall.core.JobLedger
+import plankwall.core.front.JobLedger
+import plankwall.core.step.Context
+import plankwall.core.step.Effect
 import plankwall.model.Tuning
 import plankwall.sim.World
 import plankwall.wire.JobRecord
--- a/src/test/kotlin/plankwall/PipelineDaysTest.kt
+++ b/src/test/kotlin/plankwall/PipelineDaysTest.kt
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
-import plankwall.core.Input
+import plankwall.core.step.Input
 import plankwall.model.JobSpec
 import plankwall.model.Priority
 import plankwall.model.Shape
--- a/src/test/kotlin/plankwall/RegistryTest.kt
+++ b/src/test/kotlin/plankwall/RegistryTest.kt
@@ -3,10 +3,10 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.Arrival
-import plankwall.core.ClusterStateRegistry
-import plankwall.core.Context
-import plankwall.core.Fleet
+import plankwall.core.jobs.Arrival
+import plankwall.core.jobs.Fleet
+import plankwall.core.rental.ClusterStateRegistry
+import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.model.Tuning
 import plankwall.sim.World
--- a/src/test/kotlin/plankwall/SmallerLimitsTest.kt
+++ b/src/test/kotlin/plankwall/SmallerLimitsTest.kt
@@ -7,8 +7,8 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
-import plankwall.core.Divided
-import plankwall.core.StoreLimits
+import plankwall.core.lead.Divided
+import plankwall.core.lead.StoreLimits
 import plankwall.model.Catalog
 import plankwall.model.GroupKey
 import plankwall.model.StateLimits
--- a/src/test/kotlin/plankwall/VersionsTest.kt
+++ b/src/test/kotlin/plankwall/VersionsTest.kt
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
-import plankwall.core.Divided
+import plankwall.core.lead.Divided
 import plankwall.model.GroupKey
 import plankwall.model.JobStage
 import plankwall.model.Priority
--- a/src/test/kotlin/plankwall/WarmRoomTest.kt
+++ b/src/test/kotlin/plankwall/WarmRoomTest.kt
@@ -3,9 +3,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.Room
-import plankwall.core.WarmRoom
-import plankwall.core.ZoneRule
+import plankwall.core.jobs.ZoneRule
+import plankwall.core.placing.Room
+import plankwall.core.placing.WarmRoom
 import plankwall.model.Shape
 import plankwall.sim.CoreParts
 import plankwall.sim.World
--- a/src/test/kotlin/plankwall/WireTest.kt
+++ b/src/test/kotlin/plankwall/WireTest.kt
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
-import plankwall.core.JobBook
+import plankwall.core.lead.StoreLimits
 import plankwall.model.GroupKey
 import plankwall.model.JobStage
 import plankwall.model.JobView
@@ -113,7 +113,7 @@
     @ParameterizedTest
     @ValueSource(doubles = [1.0, 2.0, 8.0, 16.0, 64.0])
     fun `a full page fits a stored value`(valueKb: Double) {
-        val size = JobBook.pageSize(valueKb)
+        val size = StoreLimits.pageSize(valueKb)
         val done = BitSet()
         for (i in 0 until size step 2) done.set(99_000 + i)
         val placements = (1 until size step 2).map { StoredPlacement(99_000 + it, 99_999_999_999_999, "i-9999999", 99) }
--- a/src/test/kotlin/plankwall/WorkerDeskTest.kt
+++ b/src/test/kotlin/plankwall/WorkerDeskTest.kt
@@ -3,8 +3,8 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import plankwall.core.StopCause
-import plankwall.core.WorkerDesk
+import plankwall.core.jobs.StopCause
+import plankwall.core.workers.WorkerDesk
 import plankwall.model.Shape
 import plankwall.sim.CoreParts
 import plankwall.sim.World
--- /dev/null
+++ b/src/test/kotlin/plankwall/build/ArchitectureTest.kt
@@ -0,0 +1,58 @@
+package plankwall.build
+
+import com.tngtech.archunit.core.domain.JavaClass
+import com.tngtech.archunit.core.importer.ClassFileImporter
+import com.tngtech.archunit.core.importer.ImportOption
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Which package may use which. A direction that is not in the table has to be argued for in docs/design.md first. */
+class ArchitectureTest {
+    private val core = setOf("core.step", "core.lead", "core.jobs", "core.placing", "core.rental", "core.workers", "core.front")
+
+    private val allowed: Map<String, Set<String>> = mapOf(
+        "model" to emptySet(),
+        "wire" to setOf("model"),
+        "core.step" to setOf("model", "wire"),
+        "core.lead" to setOf("model", "wire", "core.step"),
+        "core.jobs" to setOf("model", "wire", "core.step", "core.lead"),
+        "core.placing" to setOf("model", "wire", "core.step", "core.jobs"),
+        "core.rental" to setOf("model", "wire", "core.step", "core.lead", "core.jobs", "core.placing"),
+        "core.workers" to setOf("model", "wire", "core.step", "core.lead", "core.jobs"),
+        "core.front" to setOf("model", "wire", "core.step", "core.lead", "core.jobs"),
+        "core" to setOf("model", "wire") + core,
+        "io" to setOf("model", "wire", "core", "core.step"),
+        "cli" to setOf("model", "wire", "io"),
+    )
+
+    private val classes = ClassFileImporter().withImportOption(ImportOption.DoNotIncludeTests()).importPackages("plankwall")
+
+    private fun name(c: JavaClass): String = c.baseComponentType.packageName.removePrefix("plankwall").removePrefix(".")
+
+    @Test
+    fun `packages use only what stands below them`() {
+        val wrong = classes.flatMap { c -> c.directDependenciesFromSelf.map { Triple(name(c), it.targetClass, it.description) } }
+            .filter { (from, target, _) -> target.baseComponentType.packageName.startsWith("plankwall") && name(target) != from }
+            .filter { (from, target, _) -> name(target) !in allowed[from].orEmpty() }
+            .map { it.third }
+        assertEquals(emptyList<String>(), wrong)
+    }
+
+    @Test
+    fun `every package is in the table, and the table has no cycle`() {
+        assertEquals(allowed.keys, classes.map { name(it) }.toSet())
+        // Taking away what uses nothing that is left must in the end take away everything.
+        val left = allowed.toMutableMap()
+        while (left.keys.removeIf { from -> left.getValue(from).none { it in left.keys } }) Unit
+        assertTrue(left.isEmpty(), "a cycle among ${left.keys}")
+    }
+
+    @Test
+    fun `the core has no threads, sockets, files or clocks`() {
+        val forbidden = listOf("java.io.File", "java.nio.file", "java.net", "java.util.concurrent", "kotlinx.coroutines", "io.ktor", "java.time.Clock")
+        val wrong = classes.filter { name(it).startsWith("core") }.flatMap { it.directDependenciesFromSelf }
+            .filter { d -> forbidden.any { d.targetClass.name.startsWith(it) } }.map { it.description }
+        assertEquals(emptyList<String>(), wrong)
+    }
+}
--- a/src/test/kotlin/plankwall/sim/CoreParts.kt
+++ b/src/test/kotlin/plankwall/sim/CoreParts.kt
@@ -1,12 +1,12 @@
 package plankwall.sim
 
-import plankwall.core.Context
-import plankwall.core.Fleet
-import plankwall.core.Job
-import plankwall.core.JobBook
-import plankwall.core.LeaderStore
-import plankwall.core.Leadership
-import plankwall.core.Machine
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Job
+import plankwall.core.jobs.JobBook
+import plankwall.core.jobs.Machine
+import plankwall.core.lead.LeaderStore
+import plankwall.core.lead.Leadership
+import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.model.JobSpec
 import plankwall.model.Tuning
--- a/src/test/kotlin/plankwall/sim/World.kt
+++ b/src/test/kotlin/plankwall/sim/World.kt
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode
 import plankwall.core.Controller
-import plankwall.core.Effect
-import plankwall.core.Input
-import plankwall.core.RequestId
+import plankwall.core.step.Effect
+import plankwall.core.step.Input
+import plankwall.core.step.RequestId
 import plankwall.model.Address
 import plankwall.model.Catalog
 import plankwall.model.CloudLimits
