--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -14,6 +14,7 @@
 import plankwall.core.rental.RentalLoop
 import plankwall.core.step.Context
 import plankwall.core.step.Effect
+import plankwall.core.step.ReignPower
 import plankwall.core.workers.WorkerDesk
 import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
@@ -201,6 +202,16 @@
         }
     }
 
+    /** Where the cloud says [machine] is; null if it has not been listed yet. */
+    fun listedAddress(machine: String): String? = fleet.find(machine)?.listedAddress?.takeIf { it.isNotEmpty() }
+
+    /** What the gate may do while this lasts: it comes after all that somebody waits for. */
+    val power: ReignPower = object : ReignPower {
+        override val epoch: Long get() = store.epoch
+
+        override fun mayWrite(): Boolean = loaded && store.room() > store.scarce
+    }
+
     /** Null while the book is not read yet, or if it has no such job. */
     fun progressOf(id: String): JobProgress? = if (loaded) book.find(id)?.progress else null
 
--- a/src/main/kotlin/plankwall/core/front/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/front/FrontDesk.kt
@@ -3,20 +3,28 @@
 import org.slf4j.LoggerFactory
 import plankwall.core.lead.Leadership
 import plankwall.core.lead.StoreLimits
+import plankwall.core.step.Action
 import plankwall.core.step.Budget
 import plankwall.core.step.Context
+import plankwall.core.step.Decision
 import plankwall.core.step.RequestId
+import plankwall.core.step.Verdict
+import plankwall.core.step.Visitor
 import plankwall.model.Catalog
+import plankwall.model.JobFacts
 import plankwall.model.JobSpec
 import plankwall.model.JobStage
 import plankwall.model.JobView
 import plankwall.model.Shape
+import plankwall.model.factsFor
+import plankwall.wire.AccessKeys
 import plankwall.wire.FinalRecord
 import plankwall.wire.Guard
 import plankwall.wire.JobCodec
 import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
+import plankwall.wire.Ownership
 import plankwall.wire.StateCodec
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
@@ -32,10 +40,11 @@
     private val market: Market,
     private val progress: (String) -> JobProgress?,
     onOver: (String) -> Unit,
+    keepFacts: Boolean = false,
 ) {
     private val log = LoggerFactory.getLogger("front")
     private var open = 0
-    private val ledger = JobLedger(ctx, onOver)
+    private val ledger = JobLedger(ctx, keepFacts, onOver)
     private val finder = JobFinder(ctx, ledger)
     private val valueBytes = (ctx.settings.stateTight.valueKb * 1024).toInt()
 
@@ -44,7 +53,8 @@
 
     fun isLive(id: String): Boolean = ledger.isLive(id)
 
-    private inner class Visit(val request: RequestId) {
+    /** [visitor]: null where nobody has to prove who he is; he may do anything then, and nothing is recorded. */
+    private inner class Visit(val request: RequestId, val visitor: Visitor?) {
         private var answered = false
 
         fun answer(status: Int, body: ByteArray, retryAfterS: Int? = null) {
@@ -60,16 +70,44 @@
 
         fun unread() = later("the state service can't be read")
 
-        fun accepted(status: Int, view: JobView) = answer(status, JobCodec.accepted(view))
+        /** Tells what was decided, once the trail has it. */
+        fun told(allowed: Allowed, status: Int, body: ByteArray) {
+            if (visitor == null || allowed.verdict == null) {
+                answer(status, body)
+                return
+            }
+            visitor.record(Decision(allowed.action, allowed.job, allowed.verdict, status)) { stored ->
+                if (stored) answer(status, body) else later("the decision can't be recorded now")
+            }
+        }
+
+        fun accepted(allowed: Allowed, status: Int, view: JobView) = told(allowed, status, JobCodec.accepted(view))
+
+        /**
+         * What the rights say of [action] on [job] with [facts]; null if it was denied, which is being told then. Facts are null for
+         * a job that does not exist or whose owner nobody knows, so that a denial does not tell the two apart.
+         */
+        fun judge(action: Action, job: String, facts: JobFacts?): Allowed? {
+            if (visitor == null) return Allowed(action, job, null)
+            val verdict = visitor.judge(action, facts)
+            if (verdict.allowed) return Allowed(action, job, verdict)
+            told(Allowed(action, job, verdict), 403, JobCodec.error("you may not ${action.word} $job"))
+            return null
+        }
     }
 
+    /** That the rights allow it, or that there are none ([verdict] null). */
+    private class Allowed(val action: Action, val job: String, val verdict: Verdict?)
+
+    private fun factsOf(record: JobRecord): JobFacts = record.spec.factsFor(record.owner)
+
     /** Why a submission can't be taken, whatever the store says of other jobs. */
     private class Refusal(val status: Int, val reason: String)
 
     /** Admits a request if there is room and the store can be reached; else it is answered at once. */
-    private fun visit(request: RequestId, stateCalls: Int): Visit? {
+    private fun visit(request: RequestId, stateCalls: Int, visitor: Visitor?): Visit? {
         open++
-        val visit = Visit(request)
+        val visit = Visit(request, visitor)
         if (open > MAX_OPEN || !calls.take(stateCalls)) {
             log.info("request refused: {} open, {} calls of the state service left", open - 1, calls.available().toInt())
             visit.tooMany()
@@ -82,14 +120,33 @@
         return visit
     }
 
-    fun submit(request: RequestId, spec: JobSpec) {
+    fun submit(request: RequestId, spec: JobSpec, visitor: Visitor? = null) {
         finder.ended(spec.id)?.let {
             open++
-            Visit(request).accepted(200, finalView(spec.id, it))
+            val visit = Visit(request, visitor)
+            visit.judge(Action.RESUBMIT, spec.id, it.facts)?.let { allowed -> visit.accepted(allowed, 200, finalView(spec.id, it)) }
+            return
+        }
+        val visit = visit(request, 1, visitor) ?: return
+        admit(visit, spec, SUBMIT_TRIES)
+    }
+
+    private fun admit(visit: Visit, spec: JobSpec, tries: Int) {
+        val verdict = visit.visitor?.judge(Action.SUBMIT, spec.factsFor(visit.visitor.name))
+        val allowed = Allowed(Action.SUBMIT, spec.id, verdict)
+        if (verdict?.allowed == false) {
+            // Who may not submit it may still ask again after one that was accepted.
+            finder.lookUp(spec.id) { found ->
+                when (found) {
+                    is Found.Live, is Found.Final -> answerKnown(visit, spec.id, found)
+                    Found.Absent -> visit.told(allowed, 403, JobCodec.error("you may not submit ${spec.id}"))
+                    Found.Unreadable -> visit.unread()
+                }
+            }
             return
         }
-        val visit = visit(request, 1) ?: return
-        val record = JobRecord(spec, ctx.time.wallMs, 0, StoreLimits.pageSize(ctx.settings.stateTight.valueKb))
+        val owned = visit.visitor?.let { Ownership(it.name, verdict?.withdrawOnRevoke == true) }
+        val record = JobRecord(spec, ctx.time.wallMs, 0, StoreLimits.pageSize(ctx.settings.stateTight.valueKb), owned)
         // Judged once, by the catalogue of this moment: one that arrives during the look-up must not turn
         // "not known yet" into "can never run".
         val catalog = market.catalog
@@ -98,15 +155,15 @@
             StateCodec.sizeOf(record) > valueBytes -> Refusal(400, "the description is too long to be kept")
             else -> judge(spec, catalog)?.let { Refusal(422, it) }
         }
-        if (refusal != null) refuse(visit, spec.id, refusal) else whenAccepted(visit, spec) { store(visit, record) }
+        if (refusal != null) refuse(visit, allowed, refusal) else whenAccepted(visit, allowed, spec) { store(visit, allowed, record, tries) }
     }
 
     /** What was accepted once stays known, whatever is thought of it now: looked up before it is refused. */
-    private fun refuse(visit: Visit, id: String, refusal: Refusal) = finder.lookUp(id) { found ->
+    private fun refuse(visit: Visit, allowed: Allowed, refusal: Refusal) = finder.lookUp(allowed.job) { found ->
         when {
-            found != Found.Absent -> answerKnown(visit, id, found)
+            found != Found.Absent -> answerKnown(visit, allowed.job, found)
             refusal.status == 503 -> visit.later(refusal.reason)
-            else -> visit.answer(refusal.status, JobCodec.error(refusal.reason))
+            else -> visit.told(allowed, refusal.status, JobCodec.error(refusal.reason))
         }
     }
 
@@ -115,9 +172,9 @@
      * node's acceptance, so "never accepted" is said only after reads that began later than the request: of the live
      * jobs, shared with all who wait, and of the ends of those that are not among them.
      */
-    private fun whenAccepted(visit: Visit, spec: JobSpec, then: () -> Unit) {
+    private fun whenAccepted(visit: Visit, allowed: Allowed, spec: JobSpec, then: () -> Unit) {
         if (finder.unheardOf(spec.dependencies).isEmpty()) {
-            then()
+            ifVisible(visit, allowed, spec, emptyList(), then)
             return
         }
         ledger.whenFresh { fresh ->
@@ -126,29 +183,46 @@
                 !fresh -> visit.unread()
                 !calls.takeOrBorrow(names.size) -> visit.tooMany()
                 else -> finder.readEnds(names) { without ->
-                    when {
-                        without == null -> visit.unread()
-                        without.isEmpty() -> then()
-                        else -> refuse(visit, spec.id, Refusal(422, "awaits: ${without.first()} was never accepted"))
-                    }
+                    if (without == null) visit.unread() else ifVisible(visit, allowed, spec, without, then)
                 }
             }
         }
     }
 
-    private fun store(visit: Visit, record: JobRecord) {
+    /**
+     * Waiting for a job tells when and how it ends, so it takes the right to see it. The other way round nothing is asked:
+     * whoever lets a job wait for another's accepts that it is withdrawn with it. [absent]: those never accepted.
+     */
+    private fun ifVisible(visit: Visit, allowed: Allowed, spec: JobSpec, absent: List<String>, then: () -> Unit) {
+        val visitor = visit.visitor
+        if (visitor != null) {
+            val hidden = spec.dependencies.map { it to visitor.judge(Action.SHOW, factsOf(it)) }.find { !it.second.allowed }
+            if (hidden != null) {
+                val denied = Allowed(Action.SUBMIT, spec.id, hidden.second.copy(rule = "awaits ${hidden.first}: ${hidden.second.rule}"))
+                visit.told(denied, 403, JobCodec.error("awaits: you may not show ${hidden.first}"))
+                return
+            }
+        }
+        if (absent.isEmpty()) then() else refuse(visit, allowed, Refusal(422, "awaits: ${absent.first()} was never accepted"))
+    }
+
+    private fun factsOf(id: String): JobFacts? = finder.ended(id)?.facts ?: ledger.factsOf(id)
+
+    private fun store(visit: Visit, allowed: Allowed, record: JobRecord, tries: Int) {
         val spec = record.spec
         val guards = listOf(Guard(Keys.job(spec.id), 0), Guard(Keys.final(spec.id), 0))
-        ctx.out.state(StateOp.Txn(guards, listOf(Write.Put(Keys.job(spec.id), record)))) { result ->
-            when (result) {
-                is StateResult.Committed -> {
+        val txn = StateOp.Txn(guards, listOf(Write.Put(Keys.job(spec.id), record)))
+        change(visit, allowed, 201, txn) { result ->
+            when {
+                result is StateResult.Committed -> {
                     log.info("job {} accepted: {} tasks of {} for {}", spec.id, spec.tasks, spec.jobClass, spec.team)
                     if (spec.dependencies.isNotEmpty()) log.info("job {} waits for {}", spec.id, spec.dependencies)
-                    visit.accepted(201, JobView(spec.id, JobStage.PENDING, 0, 0))
+                    visit.answer(201, JobCodec.accepted(JobView(spec.id, JobStage.PENDING, 0, 0)))
                 }
+                replaced(result) -> if (tries > 1) admit(visit, spec, tries - 1) else visit.later("the rights change too often")
                 // Known already, or an earlier unanswered try of the same submission went through.
-                is StateResult.Conflict -> finder.lookUp(spec.id) { answerKnown(visit, spec.id, it) }
-                StateResult.Rejected -> {
+                result is StateResult.Conflict -> finder.lookUp(spec.id) { answerKnown(visit, spec.id, it) }
+                result == StateResult.Rejected -> {
                     log.warn("job {} refused for good by the state service: {} bytes", spec.id, StateCodec.sizeOf(record))
                     visit.answer(400, JobCodec.error("the description is too long to be kept"))
                 }
@@ -157,23 +231,34 @@
         }
     }
 
-    private fun answerKnown(visit: Visit, id: String, found: Found) = when (found) {
-        is Found.Final -> visit.accepted(200, finalView(id, found.record))
-        is Found.Live -> answerLive(visit, id, found.record)
-        else -> visit.unread()
+    /** Stores what was allowed; with the decision, where there is one. */
+    private fun change(visit: Visit, allowed: Allowed, status: Int, txn: StateOp.Txn, then: (StateResult) -> Unit) {
+        if (visit.visitor == null || allowed.verdict == null) ctx.out.state(txn, then)
+        else visit.visitor.change(Decision(allowed.action, allowed.job, allowed.verdict, status), txn, then)
+    }
+
+    /** The rights that allowed it were replaced before it was stored: it has to be judged anew. */
+    private fun replaced(result: StateResult): Boolean = result is StateResult.Conflict && AccessKeys.HEAD in result.failed
+
+    private fun answerKnown(visit: Visit, id: String, found: Found) {
+        when (found) {
+            is Found.Final -> visit.judge(Action.RESUBMIT, id, found.record.facts)?.let { visit.accepted(it, 200, finalView(id, found.record)) }
+            is Found.Live -> visit.judge(Action.RESUBMIT, id, factsOf(found.record))?.let { answerLive(visit, it, id, found.record) }
+            else -> visit.unread()
+        }
     }
 
     /** The state of a live job, which another node may already have called withdrawn for the sake of one that it needs. */
-    private fun answerLive(visit: Visit, id: String, record: JobRecord) {
+    private fun answerLive(visit: Visit, allowed: Allowed, id: String, record: JobRecord) {
         when {
-            record.withdrawnMs > 0 -> visit.accepted(200, withdrawnView(id))
-            record.spec.dependencies.isEmpty() -> visit.accepted(200, JobView(id, JobStage.PENDING, 0, 0))
+            record.withdrawnMs > 0 -> visit.accepted(allowed, 200, withdrawnView(id))
+            record.spec.dependencies.isEmpty() -> visit.accepted(allowed, 200, JobView(id, JobStage.PENDING, 0, 0))
             else -> ledger.whenFresh { fresh ->
                 when {
                     !fresh -> visit.unread()
                     !ledger.isLive(id) -> finder.readFinal(id) { if (it is Found.Final) answerKnown(visit, id, it) else visit.unread() }
                     else -> settle(visit, id) { withdrawn ->
-                        visit.accepted(200, if (withdrawn) withdrawnView(id) else JobView(id, JobStage.PENDING, 0, 0))
+                        visit.accepted(allowed, 200, if (withdrawn) withdrawnView(id) else JobView(id, JobStage.PENDING, 0, 0))
                     }
                 }
             }
@@ -190,23 +275,30 @@
 
     fun tick() = ledger.tick()
 
-    fun show(request: RequestId, id: String) {
+    fun show(request: RequestId, id: String, visitor: Visitor? = null) {
         finder.ended(id)?.let {
-            ctx.out.answer(request, 200, JobCodec.view(finalView(id, it)))
+            open++
+            showFinal(Visit(request, visitor), id, it)
             return
         }
-        val visit = visit(request, 0) ?: return
+        val visit = visit(request, 0, visitor) ?: return
         ledger.whenFresh { fresh ->
             when {
                 !fresh -> visit.unread()
                 !ledger.isLive(id) -> showOver(visit, id)
-                else -> settle(visit, id) { withdrawn ->
-                    visit.answer(200, JobCodec.view(if (withdrawn) withdrawnView(id) else progressOf(id)))
+                else -> visit.judge(Action.SHOW, id, ledger.factsOf(id))?.let { allowed ->
+                    settle(visit, id) { withdrawn ->
+                        visit.told(allowed, 200, JobCodec.view(if (withdrawn) withdrawnView(id) else progressOf(id)))
+                    }
                 }
             }
         }
     }
 
+    private fun showFinal(visit: Visit, id: String, record: FinalRecord) {
+        visit.judge(Action.SHOW, id, record.facts)?.let { visit.told(it, 200, JobCodec.view(finalView(id, record))) }
+    }
+
     /**
      * Says whether the live job [id] is withdrawn. That follows from the records of the jobs it needs, so no node has to
      * wait for the leader to have written it; but where one of them is over and nobody here knows how, that is read first.
@@ -231,12 +323,12 @@
     private fun showOver(visit: Visit, id: String) {
         val known = finder.ended(id)
         when {
-            known != null -> visit.answer(200, JobCodec.view(finalView(id, known)))
+            known != null -> showFinal(visit, id, known)
             !calls.take(1) -> visit.tooMany()
             else -> finder.readFinal(id) { found ->
                 when (found) {
-                    is Found.Final -> visit.answer(200, JobCodec.view(finalView(id, found.record)))
-                    Found.Absent -> visit.answer(404, JobCodec.error("no such job"))
+                    is Found.Final -> showFinal(visit, id, found.record)
+                    Found.Absent -> visit.judge(Action.SHOW, id, null)?.let { visit.told(it, 404, JobCodec.error("no such job")) }
                     else -> visit.unread()
                 }
             }
@@ -249,37 +341,45 @@
         return JobView(id, if (p.running > 0) JobStage.RUNNING else JobStage.PENDING, p.done, p.running, waitsFor)
     }
 
-    fun withdraw(request: RequestId, id: String) {
+    fun withdraw(request: RequestId, id: String, visitor: Visitor? = null) {
         finder.ended(id)?.let {
             open++
-            Visit(request).accepted(200, finalView(id, it))
+            withdrawFinal(Visit(request, visitor), id, it)
             return
         }
-        val visit = visit(request, 2) ?: return
+        val visit = visit(request, 2, visitor) ?: return
         tryWithdraw(visit, id, WITHDRAW_TRIES)
     }
 
+    private fun withdrawFinal(visit: Visit, id: String, record: FinalRecord) {
+        visit.judge(Action.WITHDRAW, id, record.facts)?.let { visit.accepted(it, 200, finalView(id, record)) }
+    }
+
     private fun tryWithdraw(visit: Visit, id: String, tries: Int) {
         finder.lookUp(id) { found ->
             when (found) {
                 is Found.Unreadable -> visit.unread()
-                is Found.Final -> visit.accepted(200, finalView(id, found.record))
-                Found.Absent -> visit.answer(404, JobCodec.error("no such job"))
-                is Found.Live -> if (found.record.withdrawnMs > 0) {
-                    visit.accepted(200, withdrawnView(id))
-                } else {
-                    val txn = StateOp.Txn(listOf(Guard(Keys.job(id), found.version)), listOf(Write.Put(Keys.job(id), withdrawn(found.record))))
-                    ctx.out.state(txn) { result ->
-                        when {
-                            result is StateResult.Committed -> {
-                                log.info("job {} withdrawn by its user", id)
-                                visit.accepted(200, withdrawnView(id))
-                            }
-                            result is StateResult.Conflict && tries > 1 -> tryWithdraw(visit, id, tries - 1)
-                            else -> visit.later("the state service did not confirm")
-                        }
-                    }
+                is Found.Final -> withdrawFinal(visit, id, found.record)
+                Found.Absent -> visit.judge(Action.WITHDRAW, id, null)?.let { visit.told(it, 404, JobCodec.error("no such job")) }
+                is Found.Live -> visit.judge(Action.WITHDRAW, id, factsOf(found.record))?.let { allowed ->
+                    if (found.record.withdrawnMs > 0) visit.accepted(allowed, 200, withdrawnView(id))
+                    else storeWithdrawal(visit, allowed, found, tries)
+                }
+            }
+        }
+    }
+
+    private fun storeWithdrawal(visit: Visit, allowed: Allowed, found: Found.Live, tries: Int) {
+        val id = allowed.job
+        val txn = StateOp.Txn(listOf(Guard(Keys.job(id), found.version)), listOf(Write.Put(Keys.job(id), withdrawn(found.record))))
+        change(visit, allowed, 200, txn) { result ->
+            when {
+                result is StateResult.Committed -> {
+                    log.info("job {} withdrawn by its user", id)
+                    visit.answer(200, JobCodec.accepted(withdrawnView(id)))
                 }
+                result is StateResult.Conflict && tries > 1 -> tryWithdraw(visit, id, tries - 1)
+                else -> visit.later("the state service did not confirm")
             }
         }
     }
@@ -304,5 +404,6 @@
         const val PART_OF_RATE = 0.3
         const val UNEVEN = 2.0
         const val WITHDRAW_TRIES = 3
+        const val SUBMIT_TRIES = 3
     }
 }
--- a/src/main/kotlin/plankwall/core/front/JobLedger.kt
+++ b/src/main/kotlin/plankwall/core/front/JobLedger.kt
@@ -3,7 +3,9 @@
 import org.slf4j.LoggerFactory
 import plankwall.core.jobs.Dependencies
 import plankwall.core.step.Context
+import plankwall.model.JobFacts
 import plankwall.model.JobStage
+import plankwall.model.factsFor
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
 import plankwall.wire.StateItem
@@ -16,11 +18,14 @@
  * One such read serves all who wait for it. A read for each poll would take the state service's whole rate as soon as
  * a few hundred users poll, and the leader's writes with it.
  */
-class JobLedger(private val ctx: Context, private val onOver: (String) -> Unit) {
+class JobLedger(private val ctx: Context, private val keepFacts: Boolean = false, private val onOver: (String) -> Unit) {
     private val log = LoggerFactory.getLogger("front")
 
     private val live = HashSet<String>()
     private val dependencies = Dependencies()
+
+    /** What rights may ask of the live jobs; kept only where there are rights. */
+    private val facts = HashMap<String, JobFacts>()
     private var revision = UNREAD
     private var waiting = ArrayList<(Boolean) -> Unit>()
     private var reading = false
@@ -35,6 +40,8 @@
 
     fun isLive(id: String): Boolean = id in live
 
+    fun factsOf(id: String): JobFacts? = facts[id]
+
     /** Whether a live job is withdrawn, by its user or through a job that it needs, as far as their ends are known here. */
     fun isWithdrawn(id: String): Boolean = dependencies.isWithdrawn(id)
 
@@ -79,12 +86,14 @@
 
     private fun keep(id: String, record: JobRecord) {
         live.add(id)
+        if (keepFacts) facts[id] = record.spec.factsFor(record.owner)
         dependencies.add(id, record.spec.dependencies)
         if (record.withdrawnMs > 0) dependencies.withdrawn(id)
     }
 
     private fun drop(id: String) {
         dependencies.over(id)
+        facts.remove(id)
         if (live.remove(id)) onOver(id)
     }
 
@@ -101,6 +110,7 @@
                 readAll(result.items.last().key, found, from, served)
             } else {
                 live.clear()
+                facts.clear()
                 dependencies.clear()
                 found.forEach { item -> (item.value as? JobRecord)?.let { keep(Keys.jobId(item.key), it) } }
                 revision = from
--- a/src/main/kotlin/plankwall/core/jobs/Fleet.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Fleet.kt
@@ -49,7 +49,10 @@
 
     fun describe(m: Machine, r: Report) = describe(m, GroupKey(r.type, r.zone, r.spot), r.address)
 
-    fun describe(m: Machine, l: ListedMachine) = describe(m, l.group, l.address)
+    fun describe(m: Machine, l: ListedMachine) {
+        describe(m, l.group, l.address)
+        m.listedAddress = l.address
+    }
 
     fun remove(m: Machine) {
         byId.remove(m.id)
--- a/src/main/kotlin/plankwall/core/jobs/JobBook.kt
+++ b/src/main/kotlin/plankwall/core/jobs/JobBook.kt
@@ -47,6 +47,8 @@
         val job = jobs[id] ?: admit(record) ?: return
         if (version > job.version) {
             job.version = version
+            // An older version that withdraws a job rewrites its record without the owner.
+            job.owner = record.owner ?: job.owner
             if (record.withdrawnMs > 0 && !job.withdrawn) withdraw(job, record.withdrawnMs)
             soil(job)
         }
--- a/src/main/kotlin/plankwall/core/jobs/JobWriter.kt
+++ b/src/main/kotlin/plankwall/core/jobs/JobWriter.kt
@@ -4,6 +4,7 @@
 import plankwall.core.lead.LeaderStore
 import plankwall.core.step.Context
 import plankwall.model.JobStage
+import plankwall.model.factsFor
 import plankwall.wire.FinalRecord
 import plankwall.wire.Guard
 import plankwall.wire.JobRecord
@@ -250,7 +251,7 @@
         val stored = job.pages.values.filter { it.version > 0 }
         val now = stored.take(limits.txnOps - 2)
         val writes = ArrayList<Write>()
-        writes.add(Write.Put(Keys.final(id), FinalRecord(stage, job.doneCount, endedMs)))
+        writes.add(Write.Put(Keys.final(id), FinalRecord(stage, job.doneCount, endedMs, job.owner?.let { job.spec.factsFor(it) })))
         writes.add(Write.Remove(Keys.job(id)))
         now.forEach { writes.add(Write.Remove(Keys.page(id, it.number))) }
         job.finishing = true
--- a/src/main/kotlin/plankwall/core/jobs/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Jobs.kt
@@ -102,6 +102,9 @@
 ) {
     /** The version of the job's record, guarded by every write about it, so that no start follows a withdrawal. */
     var version = 0L
+
+    /** Who proved to have submitted it, where callers prove who they are. */
+    var owner: String? = null
     var withdrawn = false
     var withdrawnMs = 0L
     var finishing = false
--- a/src/main/kotlin/plankwall/core/jobs/Machines.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Machines.kt
@@ -19,6 +19,9 @@
         }
     var address: String = ""
 
+    /** Where the cloud says it is; empty until it was listed. */
+    var listedAddress: String = ""
+
     /** Newest word: ([session], [seq]). */
     var session = 0L
     var seq = 0L
--- a/src/main/kotlin/plankwall/core/step/Context.kt
+++ b/src/main/kotlin/plankwall/core/step/Context.kt
@@ -65,14 +65,13 @@
     }
 }
 
-/** A rate with a burst of one second's worth. */
-class Budget(private val time: Time, private val perSecond: Double) {
-    private var left = perSecond
+/** A rate with a burst, of one second's worth where nothing else is said. */
+class Budget(private val time: Time, private val perSecond: Double, private val burst: Double = perSecond) {
+    private var left = burst
     private var at = 0.0
 
-
     fun available(): Double {
-        left = minOf(perSecond, left + (time.now - at) * perSecond)
+        left = minOf(burst, left + (time.now - at) * perSecond)
         at = time.now
         return left
     }
@@ -91,7 +90,7 @@
 
     /** Like [take], but what exceeds the whole burst is let through when it is full, or it would be refused for ever. */
     fun takeOrBorrow(n: Int): Boolean {
-        if (available() < minOf(n.toDouble(), perSecond)) return false
+        if (available() < minOf(n.toDouble(), burst)) return false
         left -= n
         return true
     }
--- a/src/main/kotlin/plankwall/core/step/Messages.kt
+++ b/src/main/kotlin/plankwall/core/step/Messages.kt
@@ -18,15 +18,19 @@
 sealed interface Input {
     data object Tick : Input
 
-    data class Submit(val request: RequestId, val spec: JobSpec) : Input
+    data class Submit(val request: RequestId, val spec: JobSpec, val proof: Proof? = null) : Input
 
-    data class Show(val request: RequestId, val jobId: String) : Input
+    data class Show(val request: RequestId, val jobId: String, val proof: Proof? = null) : Input
 
-    data class Withdraw(val request: RequestId, val jobId: String) : Input
+    data class Withdraw(val request: RequestId, val jobId: String, val proof: Proof? = null) : Input
+
+    /** About the rights or the trail; there is an answer only where a [Gate] stands. */
+    data class Keep(val request: RequestId, val asked: KeeperRequest, val proof: Proof) : Input
 
     data class Up(val request: RequestId) : Input
 
-    data class CheckIn(val request: RequestId, val report: Report) : Input
+    /** [from]: the address that the report came from; empty where nobody looks at it. */
+    data class CheckIn(val request: RequestId, val report: Report, val from: String = "") : Input
 
     data class StateReply(val call: CallId, val result: StateResult) : Input
 
--- /dev/null
+++ b/src/main/kotlin/plankwall/gate/RevocationSweep.kt
@@ -0,0 +1,122 @@
+package plankwall.gate
+
+import org.slf4j.LoggerFactory
+import plankwall.audit.TrailEntry
+import plankwall.audit.TrailWriter
+import plankwall.core.step.Action
+import plankwall.core.step.Context
+import plankwall.core.step.ReignPower
+import plankwall.core.step.Verdict
+import plankwall.model.factsFor
+import plankwall.wire.AccessKeys
+import plankwall.wire.Guard
+import plankwall.wire.JobRecord
+import plankwall.wire.Keys
+import plankwall.wire.RightsApplied
+import plankwall.wire.StateItem
+import plankwall.wire.StateOp
+import plankwall.wire.StateResult
+import plankwall.wire.Write
+
+/**
+ * What new rights mean for jobs that were accepted under older ones. The leader goes through the live jobs once for each
+ * version: a job whose owner may not submit it any more is marked with that version, and withdrawn if the rule says so,
+ * in one transaction with the trail's entry that links the two. A version counts as applied once no job is left; a new
+ * leader goes on where that was not stored, and finds those that are marked already.
+ */
+internal class RevocationSweep(
+    private val ctx: Context,
+    private val book: RightsBook,
+    private val trail: TrailWriter,
+    private val entry: (Gatehouse.Who, String, String, Verdict, Int, String) -> TrailEntry,
+) {
+    private val log = LoggerFactory.getLogger("gate")
+    private var epoch = 0L
+    private var applied = UNREAD
+    private var busy = false
+    private var retryAt = 0.0
+
+    fun tick(power: ReignPower?) {
+        if (power == null) return
+        if (epoch != power.epoch) {
+            epoch = power.epoch
+            applied = UNREAD
+        }
+        val version = book.policy.version
+        if (busy || version == 0L || applied >= version || ctx.now < retryAt || !power.mayWrite()) return
+        busy = true
+        val reign = epoch
+        if (applied != UNREAD) page(reign, null, Pass(version)) else ctx.out.state(StateOp.Get(AccessKeys.APPLIED)) { result ->
+            if (result is StateResult.Item) applied = (result.item?.value as? RightsApplied)?.version ?: 0L else pause()
+            busy = false
+        }
+    }
+
+    private fun pause() {
+        retryAt = ctx.now + RETRY_S
+    }
+
+    private class Pass(val version: Long) {
+        var open = 0
+        var read = false
+        var failed = false
+    }
+
+    private fun page(reign: Long, after: String?, pass: Pass): Unit = ctx.out.state(StateOp.Range(Keys.JOBS, after, PAGE)) { result ->
+        if (result !is StateResult.Items || reign != epoch) {
+            pass.failed = true
+            pass.read = true
+            settle(reign, pass)
+            return@state
+        }
+        result.items.forEach { examine(reign, it, pass) }
+        if (result.more && result.items.isNotEmpty()) page(reign, result.items.last().key, pass) else {
+            pass.read = true
+            settle(reign, pass)
+        }
+    }
+
+    private fun examine(reign: Long, item: StateItem, pass: Pass) {
+        val record = item.value as? JobRecord ?: return
+        val owned = record.owned ?: return
+        if (record.withdrawnMs > 0 || owned.revokedBy > 0) return
+        val facts = record.spec.factsFor(owned.owner)
+        val verdict = book.policy.judge(owned.owner, Action.SUBMIT, facts)
+        if (verdict.allowed) return
+        val withdraw = book.policy.withdrawsOnDeny(owned.owner, Action.SUBMIT, facts) ?: owned.withdrawOnRevoke
+        val marked = record.copy(owned = owned.copy(revokedBy = pass.version), withdrawnMs = if (withdraw) ctx.time.wallMs else 0)
+        val e = entry(Gatehouse.Who(owned.owner, "", ""), "revoke", record.spec.id, verdict, 0, if (withdraw) "withdraw" else "finish")
+        val guards = listOf(Guard(item.key, item.version), Guard(Keys.LEADER, reign))
+        pass.open++
+        trail.change(e, StateOp.Txn(guards, listOf(Write.Put(item.key, marked)))) { result ->
+            pass.open--
+            if (result is StateResult.Committed) {
+                log.info("job {} of {}, who may not submit it any more by {}: {}", record.spec.id, owned.owner, verdict.rule, e.note)
+            } else {
+                // Changed meanwhile, or nobody knows: looked at again in the next pass.
+                pass.failed = true
+            }
+            settle(reign, pass)
+        }
+    }
+
+    private fun settle(reign: Long, pass: Pass) {
+        if (!pass.read || pass.open > 0 || !busy) return
+        if (pass.failed || reign != epoch || book.policy.version != pass.version) {
+            busy = false
+            pause()
+            return
+        }
+        val guards = listOf(Guard(Keys.LEADER, reign), Guard(AccessKeys.HEAD, book.stamp))
+        ctx.out.state(StateOp.Txn(guards, listOf(Write.Put(AccessKeys.APPLIED, RightsApplied(pass.version))))) { result ->
+            busy = false
+            if (result is StateResult.Committed) applied = pass.version else pause()
+        }
+    }
+
+    private companion object {
+        const val UNREAD = -1L
+        const val PAGE = 200
+        const val RETRY_S = 0.5
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/plankwall/identity/Keys.kt
@@ -0,0 +1,82 @@
+package plankwall.identity
+
+import org.jose4j.json.JsonUtil
+import org.jose4j.jwk.JsonWebKey
+import org.jose4j.jwk.OctetKeyPairJsonWebKey
+import org.jose4j.jwk.OkpJwkGenerator
+import org.jose4j.jwk.PublicJsonWebKey
+import org.jose4j.jws.AlgorithmIdentifiers
+import org.jose4j.jws.JsonWebSignature
+import org.jose4j.lang.JoseException
+import java.security.Key
+import java.security.PrivateKey
+
+/** A file of keys, or a key in the rights, that can't be used. The text never holds any of a key. */
+class BadKey(reason: String) : Exception(reason)
+
+/** One of a principal's keys (RFC 8037). Several may hold at the same time, so that one can replace another in peace. */
+class PublicKey(val id: String, val key: Key, private val sinceMs: Long, private val untilMs: Long) {
+    fun holds(wallMs: Long, toleranceMs: Long): Boolean = wallMs >= sinceMs - toleranceMs && wallMs < untilMs + toleranceMs
+
+    companion object {
+        /** [x]: the 32 bytes of an Ed25519 public key, base64url without padding, as a JWK's `x`. */
+        fun of(id: String, x: String, sinceMs: Long = Long.MIN_VALUE / 2, untilMs: Long = Long.MAX_VALUE / 2): PublicKey {
+            if (!X.matches(x)) throw BadKey("not an Ed25519 public key: 43 characters of base64url are wanted")
+            return PublicKey(id, read(mapOf("kty" to "OKP", "crv" to "Ed25519", "x" to x)).key, sinceMs, untilMs)
+        }
+
+        private val X = Regex("[A-Za-z0-9_-]{43}")
+    }
+}
+
+/** A private key as it stands in its file, a JWK: `{"kty":"OKP","crv":"Ed25519","kid":"k1","sub":"meera","x":…,"d":…}`. */
+class SigningKey private constructor(val principal: String, val id: String, internal val key: PrivateKey, val x: String, private val json: String) {
+    /** What goes into the file, private part and all. */
+    fun secretJson(): String = json
+
+    override fun toString(): String = "key $id of $principal"
+
+    companion object {
+        fun generate(principal: String, id: String): SigningKey {
+            val jwk = OkpJwkGenerator.generateJwk(OctetKeyPairJsonWebKey.SUBTYPE_ED25519)
+            jwk.keyId = id
+            jwk.setOtherParameter("sub", principal)
+            return parse(jwk.toJson(JsonWebKey.OutputControlLevel.INCLUDE_PRIVATE))
+        }
+
+        fun parse(json: String): SigningKey {
+            val values = try {
+                JsonUtil.parseJson(json)
+            } catch (_: JoseException) {
+                throw BadKey("not a JWK")
+            }
+            val jwk = read(values)
+            val principal = values["sub"] as? String ?: throw BadKey("sub: missing: whose key it is")
+            val id = jwk.keyId ?: throw BadKey("kid: missing: the key's id")
+            val secret = jwk.privateKey ?: throw BadKey("d: missing: the private part")
+            return SigningKey(principal, id, secret, values["x"] as? String ?: "", json)
+        }
+    }
+}
+
+/** [payload] signed as a compact JWS of type [type]. */
+fun signatureOf(payload: String, key: SigningKey, type: String): String {
+    val jws = JsonWebSignature()
+    jws.payload = payload
+    jws.key = key.key
+    jws.keyIdHeaderValue = key.id
+    jws.setHeader("typ", type)
+    jws.algorithmHeaderValue = AlgorithmIdentifiers.EDDSA
+    return jws.compactSerialization
+}
+
+/** jose4j says in its messages what it could not read; that may be the key itself, so nothing of it is passed on. */
+private fun read(values: Map<String, Any?>): PublicJsonWebKey = try {
+    val jwk = PublicJsonWebKey.Factory.newPublicJwk(values)
+    if (jwk !is OctetKeyPairJsonWebKey || values["crv"] != OctetKeyPairJsonWebKey.SUBTYPE_ED25519) throw BadKey("not an Ed25519 key")
+    jwk
+} catch (_: JoseException) {
+    throw BadKey("not an Ed25519 key")
+} catch (_: RuntimeException) {
+    throw BadKey("not an Ed25519 key")
+}
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -12,6 +12,7 @@
 import plankwall.core.Controller
 import plankwall.core.step.Effect
 import plankwall.core.step.Input
+import plankwall.core.step.Proof
 import plankwall.core.step.RequestId
 import plankwall.model.Address
 import plankwall.model.Settings
@@ -26,10 +27,12 @@
     private val selector: SelectorManager,
     private val settings: Settings,
     tuning: Tuning,
+    identities: Identities? = null,
 ) {
     private val log = LoggerFactory.getLogger("daemon")
     private val incarnation = System.currentTimeMillis()
-    private val core = Controller(settings, tuning, incarnation, seed = System.nanoTime())
+    private val core = Controller(settings, tuning, incarnation, seed = System.nanoTime(), gate = identities?.gate)
+    private val proofs = identities != null
     private val state = StateClient(selector, settings.stateAddress)
     private val cloud = CloudClient(selector, settings.cloudAddress, settings.cloud.rps) { System.nanoTime() / 1_000_000 }
     private val answers = HashMap<RequestId, CompletableDeferred<HttpReply>>()
@@ -37,7 +40,7 @@
     private var workerPosts = 0
     private var shedPosts = 0
     private val postSlots = Semaphore(MAX_WORKER_POSTS)
-    private val peers = PeerLinks(scope, selector, settings.peers) { feed(Input.PeerHeard(it)) }
+    private val peers = PeerLinks(scope, selector, settings.peers, identities?.frames?.invoke(incarnation)) { feed(Input.PeerHeard(it)) }
 
     suspend fun run() {
         // Every worker of the site keeps a connection to the leader: whatever this node does not need itself is theirs.
@@ -120,34 +123,44 @@
         }
     }
 
-    private suspend fun handle(method: String, path: String, body: ByteArray): HttpReply = try {
-        route(method, path, body)
+    private suspend fun handle(request: HttpRequest): HttpReply = try {
+        route(request)
     } catch (e: BadMessage) {
-        log.debug("{} {}: {}", method, path, e.message)
+        log.debug("{} {}: {}", request.method, request.path, e.message)
         HttpReply(400, JobCodec.error(e.message ?: "malformed"))
     }
 
-    private suspend fun route(method: String, path: String, body: ByteArray): HttpReply {
+    private fun proof(r: HttpRequest): Proof? = if (proofs) Proof(r.method, r.target, r.body, r.authorization, r.from) else null
+
+    private suspend fun route(request: HttpRequest): HttpReply {
+        val method = request.method
+        val path = request.path
         val job = path.removePrefix(JOB_PATH)
         return when {
             path == "/checkin" -> post(method) {
-                val report = WorkerCodec.readReport(body)
-                ask { Input.CheckIn(it, report) }
+                val report = WorkerCodec.readReport(request.body)
+                ask { Input.CheckIn(it, report, if (proofs) request.from else "") }
             }
             path == "/up" -> get(method) { ask { Input.Up(it) } }
             path == "/api/jobs" -> post(method) {
-                val spec = JobCodec.read(body)
-                ask { Input.Submit(it, spec) }
+                val spec = JobCodec.read(request.body)
+                ask { Input.Submit(it, spec, proof(request)) }
             }
-            !path.startsWith(JOB_PATH) -> notFound()
+            !path.startsWith(JOB_PATH) -> if (proofs) keep(request) else notFound()
             job.endsWith(WITHDRAW) -> {
                 val id = job.removeSuffix(WITHDRAW)
-                post(method) { if (JobCodec.isJobId(id)) ask { Input.Withdraw(it, id) } else notFound() }
+                post(method) { if (JobCodec.isJobId(id)) ask { Input.Withdraw(it, id, proof(request)) } else notFound() }
             }
-            else -> get(method) { if (JobCodec.isJobId(job)) ask { Input.Show(it, job) } else notFound() }
+            else -> get(method) { if (JobCodec.isJobId(job)) ask { Input.Show(it, job, proof(request)) } else notFound() }
         }
     }
 
+    /** Rights and trail, which exist only where callers prove who they are. */
+    private suspend fun keep(request: HttpRequest): HttpReply {
+        val asked = KeeperRoutes.read(request) ?: return notFound()
+        return ask { Input.Keep(it, asked, Proof(request.method, request.target, request.body, request.authorization, request.from)) }
+    }
+
     private suspend fun get(method: String, serve: suspend () -> HttpReply): HttpReply = only("GET", method, serve)
 
     private suspend fun post(method: String, serve: suspend () -> HttpReply): HttpReply = only("POST", method, serve)
--- a/src/main/kotlin/plankwall/io/HttpServer.kt
+++ b/src/main/kotlin/plankwall/io/HttpServer.kt
@@ -5,6 +5,7 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.SocketAddress
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
@@ -25,7 +26,7 @@
     private val scope: CoroutineScope,
     private val selector: SelectorManager,
     private val maxConnections: Int,
-    private val handle: suspend (method: String, path: String, body: ByteArray) -> HttpReply,
+    private val handle: suspend (HttpRequest) -> HttpReply,
 ) {
     private val log = LoggerFactory.getLogger("http")
     private var open = 0
@@ -39,13 +40,14 @@
     private suspend fun serve(socket: Socket) {
         open++
         try {
+            val from = socket.remoteAddress
             val input = socket.openReadChannel()
             val output = socket.openWriteChannel(autoFlush = false)
             while (true) {
                 val request = withTimeout(IDLE_MS) { parseRequest(input) } ?: break
                 val keep = try {
                     val body = withTimeout(BODY_MS) { readBody(request.headers, input, MAX_BODY) }
-                    respond(request, body, output)
+                    respond(request, body, from, output)
                 } finally {
                     request.release()
                 }
@@ -59,11 +61,10 @@
         }
     }
 
-    private suspend fun respond(request: Request, body: ByteArray?, output: ByteWriteChannel): Boolean {
-        val path = request.uri.toString().substringBefore('?')
+    private suspend fun respond(request: Request, body: ByteArray?, from: SocketAddress, output: ByteWriteChannel): Boolean {
         // What is left of a body that is too long has not been read: the connection can't be kept.
         val keep = body != null && !closes(request.headers)
-        val reply = if (body == null) HttpReply(400, TOO_LONG) else handle(request.method.value, path, body)
+        val reply = if (body == null) HttpReply(400, TOO_LONG) else handle(HttpRequest(request, body, from))
         val out = ByteArrayOutputStream(160 + reply.body.size)
         val head = buildString {
             append("HTTP/1.1 ").append(reply.status).append(' ').append(reason(reply.status)).append("\r\n")
--- a/src/main/kotlin/plankwall/io/PeerLinks.kt
+++ b/src/main/kotlin/plankwall/io/PeerLinks.kt
@@ -20,6 +20,7 @@
 import org.slf4j.LoggerFactory
 import plankwall.model.Address
 import plankwall.model.Peer
+import plankwall.wire.FrameSeal
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerMessage
 
@@ -28,6 +29,7 @@
     private val scope: CoroutineScope,
     private val selector: SelectorManager,
     peers: List<Peer>,
+    private val seal: FrameSeal? = null,
     private val heard: (PeerMessage) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("peers")
@@ -40,7 +42,8 @@
     }
 
     fun send(message: PeerMessage) {
-        val frame = PeerCodec.write(message)
+        val plain = PeerCodec.write(message)
+        val frame = seal?.seal(plain, System.currentTimeMillis()) ?: plain
         outgoing.forEach { it.trySend(frame) }
     }
 
@@ -72,14 +75,15 @@
     private suspend fun receive(socket: Socket) {
         incoming++
         try {
+            if (seal != null && !seal.admits(socket.remoteAddress.toString().substringAfter('/'))) throw HttpBroken("not from a peer's network")
             val input = socket.openReadChannel()
             while (true) {
                 val frame = withTimeout(SILENT_MS) {
                     val size = input.readInt()
-                    if (size !in 1..PeerCodec.MAX_FRAME) throw HttpBroken("peer frame of $size bytes")
+                    if (size !in 1..PeerCodec.MAX_FRAME + (seal?.overhead ?: 0)) throw HttpBroken("peer frame of $size bytes")
                     input.readByteArray(size)
                 }
-                heard(PeerCodec.read(frame))
+                open(frame)?.let(heard)
             }
         } catch (e: Exception) {
             log.debug("incoming link ended: {}", e.toString())
@@ -89,6 +93,14 @@
         }
     }
 
+    /** What a frame says, if whoever must have sent it has. */
+    private fun open(frame: ByteArray): PeerMessage? {
+        if (seal == null) return PeerCodec.read(frame)
+        val message = seal.open(frame, System.currentTimeMillis())
+        if (message == null) log.debug("a frame that no peer has signed was dropped")
+        return message
+    }
+
     private companion object {
         const val QUEUE = 8
         const val IO_MS = 2_000L
--- a/src/main/kotlin/plankwall/model/JobSpec.kt
+++ b/src/main/kotlin/plankwall/model/JobSpec.kt
@@ -29,6 +29,11 @@
     val dependencies: List<String> = emptyList(),
 )
 
+/** What rights may ask about a job. [owner]: null where nobody proved who submitted it. */
+data class JobFacts(val owner: String?, val jobClass: String, val team: String, val priority: Priority, val shape: Shape)
+
+fun JobSpec.factsFor(owner: String?): JobFacts = JobFacts(owner, jobClass, team, priority, shape)
+
 /** Where a job stands, as told to its user. */
 enum class JobStage { PENDING, RUNNING, DONE, WITHDRAWN }
 
--- a/src/main/kotlin/plankwall/wire/JobCodec.kt
+++ b/src/main/kotlin/plankwall/wire/JobCodec.kt
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonToken
+import plankwall.model.JobFacts
 import plankwall.model.JobSpec
 import plankwall.model.JobStage
 import plankwall.model.JobView
@@ -199,5 +200,44 @@
         }
     }
 
+    /** What rights may ask about a job that is over; its description is gone by then. */
+    fun writeFacts(g: JsonGenerator, f: JobFacts) {
+        f.owner?.let { g.writeStringField("own", it) }
+        g.writeStringField("docket", f.jobClass)
+        g.writeStringField("crew", f.team)
+        g.writeStringField("shape", shapeNames[f.shape])
+        g.writeStringField("urgency", priorityNames[f.priority])
+    }
+
+    class FactsReader {
+        private var owner: String? = null
+        private var jobClass = ""
+        private var team = ""
+        private var shape = Shape.ARRAY
+        private var priority = Priority.LOW
+
+        /** Whether [name] was one of the fields that [writeFacts] writes. */
+        fun take(p: JsonParser, name: String): Boolean {
+            when (name) {
+                "own" -> owner = p.text(name)
+                "docket" -> jobClass = p.text(name)
+                "crew" -> team = p.text(name)
+                "shape" -> shape = shapes[p.text(name)] ?: throw BadMessage("shape: unknown")
+                "urgency" -> priority = priorities[p.text(name)] ?: throw BadMessage("urgency: unknown")
+                else -> return false
+            }
+            return true
+        }
+
+        fun facts(): JobFacts? = owner?.let { JobFacts(it, jobClass, team, priority, shape) }
+    }
+
+    fun priorityName(priority: Priority): String = priorityNames.getValue(priority)
+
+    fun shapeName(shape: Shape): String = shapeNames.getValue(shape)
+
+    val priorityWords: Map<String, Priority> get() = priorities
+    val shapeWords: Map<String, Shape> get() = shapes
+
     fun error(reason: String): ByteArray = writeJson { obj { writeStringField("error", reason) } }
 }
--- /dev/null
+++ b/src/main/kotlin/plankwall/wire/KeeperCodec.kt
@@ -0,0 +1,75 @@
+package plankwall.wire
+
+/** Requests about rights and trail, and their answers. */
+object KeeperCodec {
+    class Publication(val base: Long, val text: String?, val to: Long?)
+
+    /** `{"base":3,"text":"…"}` publishes, `{"base":3,"to":1}` goes back to an earlier version's text. */
+    fun publication(bytes: ByteArray): Publication = parseJson(bytes) { p ->
+        var base: Long? = null
+        var text: String? = null
+        var to: Long? = null
+        p.fields { name ->
+            when (name) {
+                "base" -> base = whole(name)
+                "text" -> text = text(name)
+                "to" -> to = whole(name)
+            }
+        }
+        Publication(base ?: throw BadMessage("base: missing: the version that this is to follow"), text, to)
+    }
+
+    fun publish(base: Long, text: String): ByteArray = writeJson {
+        obj {
+            writeNumberField("base", base)
+            writeStringField("text", text)
+        }
+    }
+
+    fun rollback(base: Long, to: Long): ByteArray = writeJson {
+        obj {
+            writeNumberField("base", base)
+            writeNumberField("to", to)
+        }
+    }
+
+    class RightsView(val version: Long, val by: String, val atMs: Long, val text: String)
+
+    fun rights(version: Long, by: String, atMs: Long, text: String): ByteArray = writeJson {
+        obj {
+            writeNumberField("version", version)
+            writeStringField("by", by)
+            writeNumberField("at_ms", atMs)
+            writeStringField("text", text)
+        }
+    }
+
+    fun readRights(bytes: ByteArray): RightsView = parseJson(bytes) { p ->
+        var version = 0L
+        var by = ""
+        var at = 0L
+        var text = ""
+        p.fields { name ->
+            when (name) {
+                "version" -> version = whole(name)
+                "by" -> by = text(name)
+                "at_ms" -> at = whole(name)
+                "text" -> text = text(name)
+            }
+        }
+        RightsView(version, by, at, text)
+    }
+
+    fun published(version: Long): ByteArray = writeJson { obj { writeNumberField("version", version) } }
+
+    fun segment(s: TrailSegment): ByteArray = writeJson { AccessRecordCodec.write(this, s) }
+
+    fun seal(s: TrailSeal): ByteArray = writeJson { AccessRecordCodec.write(this, s) }
+
+    /** Throws [BadMessage]. */
+    fun readSegment(bytes: ByteArray): TrailSegment =
+        parseJson(bytes) { AccessRecordCodec.read(AccessKeys.TRAIL, it) as? TrailSegment ?: throw BadMessage("no segment") }
+
+    fun readSeal(bytes: ByteArray): TrailSeal =
+        parseJson(bytes) { AccessRecordCodec.read(AccessKeys.SEALS, it) as? TrailSeal ?: throw BadMessage("no seal") }
+}
--- a/src/main/kotlin/plankwall/wire/Records.kt
+++ b/src/main/kotlin/plankwall/wire/Records.kt
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonToken
 import plankwall.model.Catalog
 import plankwall.model.GroupKey
+import plankwall.model.JobFacts
 import plankwall.model.JobSpec
 import plankwall.model.JobStage
 import java.util.BitSet
@@ -15,8 +16,22 @@
 /** Who leads. The revision of this key is the epoch: token to the workers, guard of every write. */
 data class LeaderRecord(val node: String, val incarnation: Long) : Stored
 
-/** A live job. Written by the node that accepted it; again when its user withdraws it. */
-data class JobRecord(val spec: JobSpec, val submittedMs: Long, val withdrawnMs: Long, val pageSize: Int) : Stored
+/**
+ * A live job. Written by the node that accepted it; again when its user withdraws it. [owner]: who submitted it, where
+ * callers prove who they are; what is to become of it when they lose the right to is in [owned].
+ */
+data class JobRecord(
+    val spec: JobSpec,
+    val submittedMs: Long,
+    val withdrawnMs: Long,
+    val pageSize: Int,
+    val owned: Ownership? = null,
+) : Stored {
+    val owner: String? get() = owned?.owner
+}
+
+/** [withdrawOnRevoke]: by the rule that allowed it. [revokedBy]: the version of the rights that took the right away, or 0. */
+data class Ownership(val owner: String, val withdrawOnRevoke: Boolean, val revokedBy: Long = 0)
 
 data class StoredPlacement(val task: Int, val attempt: Long, val machine: String, val session: Long)
 
@@ -26,8 +41,8 @@
  */
 data class PageRecord(val done: BitSet, val placements: List<StoredPlacement>, val partSize: Int = 0) : Stored
 
-/** How a job ended, and when (0: not known). Kept for ever and apart from the live records. */
-data class FinalRecord(val stage: JobStage, val done: Int, val endedMs: Long = 0) : Stored
+/** How a job ended, and when (0: not known). Kept for ever and apart from the live records. [facts]: only of owned jobs. */
+data class FinalRecord(val stage: JobStage, val done: Int, val endedMs: Long = 0, val facts: JobFacts? = null) : Stored
 
 data class StoredRental(val request: String, val group: GroupKey, val count: Int)
 
@@ -100,6 +115,11 @@
             writeNumberField("at", record.submittedMs)
             if (record.withdrawnMs > 0) writeNumberField("wd", record.withdrawnMs)
             writeNumberField("page", record.pageSize)
+            record.owned?.let {
+                writeStringField("own", it.owner)
+                if (it.withdrawOnRevoke) writeBooleanField("ow", true)
+                if (it.revokedBy > 0) writeNumberField("rv", it.revokedBy)
+            }
         }
         is PageRecord -> g.obj {
             arr("d") {
@@ -127,6 +147,7 @@
             writeStringField("stage", record.stage.name)
             writeNumberField("done", record.done)
             if (record.endedMs > 0) writeNumberField("at", record.endedMs)
+            record.facts?.let { JobCodec.writeFacts(this, it) }
         }
         is LevelRecord -> g.obj { writeNumberField("level", record.level) }
         is FleetRecord -> g.obj {
@@ -152,6 +173,7 @@
             if (record.more > 0) writeNumberField("more", record.more)
         }
         is CatalogRecord -> CloudCodec.writeCatalog(g, record.catalog, record.more)
+        is RightsHead, is RightsPart, is RightsApplied, is TrailSegment, is TrailSeal -> AccessRecordCodec.write(g, record)
     }
 
     private fun JsonGenerator.names(names: List<String>) = NameRuns.write(names) { first, following ->
@@ -174,7 +196,7 @@
         key.startsWith(Keys.JOBS) -> job(p)
         key.startsWith(Keys.PAGES) -> page(p)
         key.startsWith(Keys.FINALS) -> final(p)
-        else -> {
+        else -> AccessRecordCodec.read(key, p) ?: run {
             // Read past, or the whole answer that it stands in could not be read: the first version fails on that.
             p.skipChildren()
             null
@@ -198,8 +220,14 @@
         var at = 0L
         var withdrawn = 0L
         var pageSize = 0
+        var owner: String? = null
+        var withdrawOnRevoke = false
+        var revokedBy = 0L
         p.fields { name ->
             when (name) {
+                "own" -> owner = text(name)
+                "ow" -> withdrawOnRevoke = flag(name)
+                "rv" -> revokedBy = whole(name)
                 "spec" -> spec = JobCodec.read(p)
                 "at" -> at = whole(name)
                 "wd" -> withdrawn = whole(name)
@@ -207,7 +235,8 @@
             }
         }
         if (pageSize <= 0) throw BadMessage("job record without page size")
-        return JobRecord(spec ?: throw BadMessage("job record without spec"), at, withdrawn, pageSize)
+        val owned = owner?.let { Ownership(it, withdrawOnRevoke, revokedBy) }
+        return JobRecord(spec ?: throw BadMessage("job record without spec"), at, withdrawn, pageSize, owned)
     }
 
     private fun page(p: JsonParser): PageRecord {
@@ -242,14 +271,15 @@
         var stage = JobStage.DONE
         var done = 0
         var endedMs = 0L
+        val facts = JobCodec.FactsReader()
         p.fields { name ->
-            when (name) {
+            if (!facts.take(p, name)) when (name) {
                 "stage" -> stage = if (text(name) == JobStage.WITHDRAWN.name) JobStage.WITHDRAWN else JobStage.DONE
                 "done" -> done = intValue
                 "at" -> endedMs = whole(name)
             }
         }
-        return FinalRecord(stage, done, endedMs)
+        return FinalRecord(stage, done, endedMs, facts.facts())
     }
 
     private fun level(p: JsonParser): LevelRecord {
--- a/src/test/kotlin/plankwall/VersionsTest.kt
+++ b/src/test/kotlin/plankwall/VersionsTest.kt
@@ -23,15 +23,21 @@
 import plankwall.wire.Keys
 import plankwall.wire.LeaderRecord
 import plankwall.wire.LevelRecord
+import plankwall.wire.Ownership
 import plankwall.wire.PageRecord
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
 import plankwall.wire.ProgressNews
+import plankwall.wire.RightsApplied
+import plankwall.wire.RightsHead
+import plankwall.wire.RightsPart
 import plankwall.wire.StateItem
 import plankwall.wire.Stored
 import plankwall.wire.StoredArrival
 import plankwall.wire.StoredPlacement
 import plankwall.wire.StoredRental
+import plankwall.wire.TrailSeal
+import plankwall.wire.TrailSegment
 import java.util.BitSet
 
 /** What the first version stored and sent, taken from running it, and what it makes of what this one stores and sends. */
@@ -51,11 +57,15 @@
     private fun rewrittenByFirst(record: Stored): String {
         val tree = SimWorker.json.readTree(encode(record)) as ObjectNode
         when (record) {
-            is JobRecord -> (tree.get("spec") as ObjectNode).remove("awaits")
+            is JobRecord -> {
+                (tree.get("spec") as ObjectNode).remove("awaits")
+                tree.remove(listOf("own", "ow", "rv"))
+            }
             is PageRecord -> tree.remove("s")
-            is FinalRecord -> tree.remove("at")
+            is FinalRecord -> tree.remove(listOf("at", "own", "docket", "crew", "shape", "urgency"))
             is FleetRecord, is CatalogRecord -> tree.remove("more")
             is LeaderRecord, is LevelRecord -> Unit
+            is RightsHead, is RightsPart, is RightsApplied, is TrailSegment, is TrailSeal -> error("never read by the first version")
         }
         return tree.toString()
     }
@@ -63,8 +73,9 @@
     @Test
     fun `a record that the first version rewrites loses what it waits for only together with all starts`() {
         // It rewrites a job's record for nothing but a withdrawal, and that is final.
-        val record = JobRecord(spec.copy(dependencies = listOf("job-000001")), 1_700_000_000_000, 1_700_000_009_000, 28)
-        assertEquals(record.copy(spec = spec), decode(Keys.job(spec.id), rewrittenByFirst(record)))
+        val owned = Ownership("meera", withdrawOnRevoke = true)
+        val record = JobRecord(spec.copy(dependencies = listOf("job-000001")), 1_700_000_000_000, 1_700_000_009_000, 28, owned)
+        assertEquals(record.copy(spec = spec, owned = null), decode(Keys.job(spec.id), rewrittenByFirst(record)))
     }
 
     @Test
--- a/src/test/kotlin/plankwall/build/ArchitectureTest.kt
+++ b/src/test/kotlin/plankwall/build/ArchitectureTest.kt
@@ -22,8 +22,13 @@
         "core.workers" to setOf("model", "wire", "core.step", "core.lead", "core.jobs"),
         "core.front" to setOf("model", "wire", "core.step", "core.lead", "core.jobs"),
         "core" to setOf("model", "wire") + core,
+        "identity" to setOf("model", "wire", "core.step"),
+        "access.grammar" to emptySet(),
+        "access" to setOf("model", "wire", "core.step", "identity", "access.grammar"),
+        "audit" to setOf("model", "wire", "core.step", "identity"),
+        "gate" to setOf("model", "wire", "core.step", "identity", "access", "audit"),
         "io" to setOf("model", "wire", "core", "core.step"),
-        "cli" to setOf("model", "wire", "io"),
+        "cli" to setOf("model", "wire", "core.step", "io", "identity", "access", "audit", "gate"),
     )
 
     private val classes = ClassFileImporter().withImportOption(ImportOption.DoNotIncludeTests()).importPackages("plankwall")
--- a/src/test/kotlin/plankwall/sim/World.kt
+++ b/src/test/kotlin/plankwall/sim/World.kt
@@ -5,6 +5,10 @@
 import plankwall.core.step.Effect
 import plankwall.core.step.Input
 import plankwall.core.step.RequestId
+import plankwall.gate.GateSettings
+import plankwall.gate.Gatehouse
+import plankwall.identity.PeerDoor
+import plankwall.identity.PeerSeal
 import plankwall.model.Address
 import plankwall.model.Catalog
 import plankwall.model.CloudLimits
@@ -20,6 +24,7 @@
 import plankwall.model.Tuning
 import plankwall.model.WorkerTimes
 import plankwall.wire.CloudResult
+import plankwall.wire.PeerCodec
 import plankwall.wire.Report
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
@@ -31,6 +36,7 @@
     nodeCount: Int = 3,
     private val tuning: Tuning = Tuning(),
     private val stateNext: StateLimits? = null,
+    private val gate: ((node: String) -> GateSettings)? = null,
 ) {
     val random = Random(seed)
     val clock = SimClock()
@@ -48,6 +54,11 @@
     /** Pairs that can't reach each other, as "n0-state", "n1-workers", "n2-peers". */
     val cuts = HashSet<String>()
 
+    /** Called before each effect is carried out; what it crashes does nothing more. */
+    var onEffect: (Node, Effect) -> Unit = { _, _ -> }
+
+    fun wallMs(): Long = (clock.now * 1000).toLong() + 1_700_000_000_000
+
     init {
         nodes.forEach { it.start() }
         clock.every(0.5) { checker.checkWithdrawn(clock.now) }
@@ -58,6 +69,11 @@
         private var life = 0
         private var nextRequest = 1L
         private val answers = HashMap<RequestId, (Int, ByteArray) -> Unit>()
+        private var door: PeerDoor? = null
+
+        /** The gate of the present life, where there are gates. */
+        var house: Gatehouse? = null
+            private set
         private val skew = 1.0 + (random.nextDouble() - 0.5) * 0.0009
 
         val up: Boolean get() = core != null
@@ -65,7 +81,9 @@
 
         fun start() {
             life++
-            core = Controller(own, tuning, life.toLong() * 1000 + name.hashCode(), random.nextLong())
+            val incarnation = life.toLong() * 1_000_000 + name.hashCode() % 1000
+            core = Controller(own, tuning, incarnation, random.nextLong(), gate?.let { g -> { ctx -> Gatehouse(ctx, g(name)).also { house = it } } })
+            door = gate?.invoke(name)?.let { PeerDoor(PeerSeal(name, incarnation, it.peerKeys, it.allowUnsignedPeers, it.clockToleranceMs)) { null } }
             val mine = life
             fun tick() {
                 if (life != mine || core == null) return
@@ -84,7 +102,18 @@
 
         fun feed(input: Input) {
             val c = core ?: return
-            c.step(clock.now * skew + 1000, (clock.now * 1000).toLong() + 1_700_000_000_000, input).forEach { perform(it) }
+            for (effect in c.step(clock.now * skew + 1000, wallMs(), input)) {
+                perform(effect)
+                // The rest of what it wanted done is lost with the process.
+                if (core == null) return
+            }
+        }
+
+        /** Bytes as they come over a link between controllers, from whomever. */
+        fun frame(bytes: ByteArray) {
+            val d = door
+            val message = if (d == null) PeerCodec.read(bytes) else d.open(bytes, wallMs())
+            if (message != null) feed(Input.PeerHeard(message))
         }
 
         fun ask(input: (RequestId) -> Input, then: (Int, ByteArray) -> Unit) {
@@ -98,6 +127,8 @@
 
         private fun perform(e: Effect) {
             val mine = life
+            onEffect(this, e)
+            if (life != mine) return
             when (e) {
                 is Effect.Answer -> answers.remove(e.request)?.invoke(e.status, e.body)
                 is Effect.StateCall -> stateCall(e, mine)
@@ -110,8 +141,10 @@
                     val answer = cloud.worker(e.address)?.command(SimWorker.json.readTree(e.body))
                     if (answer != null) later(mine, 0.01) { Input.WorkerReply(e.machine, answer.second) }
                 }
-                is Effect.PeerSend -> if ("$name-peers" !in cuts) nodes.filter { it !== this && "${it.name}-peers" !in cuts }.forEach { peer ->
-                    clock.after(0.005) { peer.feed(Input.PeerHeard(e.message)) }
+                is Effect.PeerSend -> if ("$name-peers" !in cuts) {
+                    val plain = PeerCodec.write(e.message)
+                    val bytes = door?.seal(plain, wallMs()) ?: plain
+                    nodes.filter { it !== this && "${it.name}-peers" !in cuts }.forEach { peer -> clock.after(0.005) { peer.frame(bytes) } }
                 }
             }
         }
@@ -145,6 +178,11 @@
 
     fun submitted(id: String): JobSpec? = specs[id]
 
+    /** Workers can have the description of a job that somebody else will submit. */
+    fun expect(spec: JobSpec) {
+        specs.putIfAbsent(spec.id, spec)
+    }
+
     /** Submits until accepted, then polls until over, as users do. */
     fun submit(spec: JobSpec, withdrawAfter: Double? = null) {
         specs[spec.id] = spec
