--- a/src/test/kotlin/plankwall/sim/SimState.kt
+++ b/src/test/kotlin/plankwall/sim/SimState.kt
@@ -47,6 +47,10 @@
 
     val keys: Set<String> get() = entries.keys
 
+    /** Puts and deletes executed so far. */
+    var changes = 0
+        private set
+
     /** The most requests, and the most puts and deletes, that came within any second. */
     val busiestCalls = Busiest()
     val busiestWrites = Busiest()
@@ -138,6 +142,7 @@
         if (op.writes.any { it is Write.Put && it.lease != null && it.lease !in leases }) return StateResult.Refused
         if (op.writes.isEmpty()) return StateResult.Committed(revision)
         revision++
+        changes += op.writes.size
         for (w in op.writes) when (w) {
             is Write.Put -> {
                 entries[w.key] = Entry(w.value, revision, w.lease)
