--- a/src/main/kotlin/plankwall/cli/Main.kt
+++ b/src/main/kotlin/plankwall/cli/Main.kt
@@ -41,6 +41,7 @@
     val line = CommandLine(Plankwall())
     // A node that starts on a third of a core need not load commands that it is not asked for.
     if (args.firstOrNull() != "serve") line.addSubcommand(KeysCommand()).addSubcommand(RightsCommand()).addSubcommand(AuditCommand())
+    line.isCaseInsensitiveEnumValuesAllowed = true
     line.executionExceptionHandler = CommandLine.IExecutionExceptionHandler { e, cmd, _ ->
         if (e !is BadSettings) throw e
         cmd.err.println("plankwall: ${e.message}")
--- a/src/main/kotlin/plankwall/cli/access/AuditCommand.kt
+++ b/src/main/kotlin/plankwall/cli/access/AuditCommand.kt
@@ -138,7 +138,9 @@
     override fun call(): Int {
         val policy = readRights(rights)
         val kept = checkpoints.map { f -> if (f.canRead()) f.readText().trim() else throw BadSettings("$f: can't be read") }
-        val outcome = Verifier(policy::publicKey).verify(TrailFile.read(copy), kept)
+        val trail = TrailFile.read(copy)
+        if (trail.chains.isEmpty() && trail.seals.isEmpty()) throw BadSettings("$copy: holds no trail: there is nothing to verify")
+        val outcome = Verifier(policy::publicKey).verify(trail, kept)
         outcome.broken.forEach { println(it) }
         println("${outcome.entries} entries hold together, sealed: ${outcome.sealed.entries.joinToString(", ") { "${it.key} up to ${it.value - 1}" }.ifEmpty { "none" }}")
         println(if (outcome.broken.isEmpty()) "nothing is broken" else "${outcome.broken.size} broken")
--- a/src/test/kotlin/plankwall/cli/IdentitiesFileTest.kt
+++ b/src/test/kotlin/plankwall/cli/IdentitiesFileTest.kt
@@ -122,7 +122,7 @@
     @Test
     fun `a copy of a trail that is cut off or no copy at all is told from one that was tampered with`() {
         val rights = file("rights", "person lea { }")
-        assertEquals(0, run(AuditCommand(), "verify", file("empty", "").path, "--rights", rights.path).first)
+        assertEquals(2, run(AuditCommand(), "verify", file("empty", "").path, "--rights", rights.path).first)
         assertEquals(2, run(AuditCommand(), "verify", file("cut", "{\"node\":\"n0\",\"segm").path, "--rights", rights.path).first)
         assertEquals(1, run(AuditCommand(), "verify", file("odd", "{\"node\":\"n0\",\"segment\":0,\"value\":{\"f\":0,\"b\":\"x\",\"l\":[\"a\"]}}").path, "--rights", rights.path).first)
     }
--- a/src/test/kotlin/plankwall/gate/GateDaysTest.kt
+++ b/src/test/kotlin/plankwall/gate/GateDaysTest.kt
@@ -188,6 +188,59 @@
         assertTrue(crashes >= 2, "met $crashes steps")
     }
 
+    @Test
+    fun `a right that is revoked between check and store allows nothing any more`() {
+        val outcomes = HashSet<Int>()
+        for (n in 0 until 30) {
+            val (world, callers) = site(300L + n)
+            val at = world.clock.now + 1.0
+            world.clock.after(1.0) { callers.publish("root", 1, Callers.rights(red = "allow show where team is red;"), world.nodes[0]) }
+            // The whole time from the publication's first write to the last node's hearing of it.
+            val asked = List(6) { k -> World.job(k + 1, team = "red", runS = 500.0) to world.nodes[1 + k % 2] }.mapIndexed { k, (spec, node) ->
+                ArrayList<Callers.Asked>().also { into -> world.clock.after(1.0 + n * 0.002 + k * 0.004) { into.add(callers.submit("ada", spec, node)) } }
+            }
+            world.clock.runUntil(at + 4.0)
+            val published = world.state.version("access/head")
+            for (a in asked.flatten()) {
+                outcomes.add(a.status)
+                val stored = world.state.born("j/${a.subject}")
+                assertEquals(a.status == 201, stored > 0, "${a.subject} of run $n")
+                assertTrue(stored < published, "${a.subject} of run $n was stored by rights that were replaced")
+            }
+            world.clock.runUntil(at + 40.0)
+            world.assertSound(callers)
+        }
+        assertEquals(setOf(201, 403), outcomes, "both sides of the race were met")
+    }
+
+    @Test
+    fun `beside a node of an older version, which knows no owners, nothing is lost and nothing is let through`() {
+        var old = setOf("n0")
+        val world = World(31, 3, gate = { if (it in old) null else Callers.settings(it) })
+        val callers = Callers(world)
+        world.clock.runUntil(3.0)
+        // The older one leads, so it ends jobs without saying whose they were.
+        while (!world.nodes[0].leading) {
+            world.nodes.first { it.leading }.crash(3.0)
+            world.clock.runUntil(world.clock.now + 6.0)
+        }
+        val short = World.job(1, tasks = 1, team = "red", runS = 5.0)
+        val long = World.job(2, Shape.SERVICE, team = "red")
+        assertEquals(201, world.until(callers.submit("ada", short, world.nodes[1])))
+        assertEquals(201, world.until(callers.submit("ada", long, world.nodes[2])))
+        world.clock.runUntil(world.clock.now + 40.0)
+        assertEquals("done", callers.show("ada", short.id, world.nodes[1]).also { world.until(it) }.stage)
+        assertEquals(403, world.until(callers.show("ben", short.id, world.nodes[1])))
+        // Then it is replaced, and what was published meanwhile is seen to by whoever leads next.
+        assertEquals(200, world.until(callers.publish("root", 1, Callers.rights(red = "allow show where team is red;", more = "rule out: deny submit to ada on revoke withdraw;"), world.nodes[1])))
+        world.clock.runUntil(world.clock.now + 5.0)
+        old = emptySet()
+        world.nodes[0].crash(3.0)
+        world.clock.runUntil(world.clock.now + 40.0)
+        assertEquals("withdrawn", callers.show("ada", long.id).also { world.until(it) }.stage)
+        world.assertSound(callers)
+    }
+
     private fun concerns(step: String, op: StateOp): Boolean {
         val keys = (op as? StateOp.Txn)?.writes.orEmpty().filterIsInstance<Write.Put>().map { it.key }
         return when (step) {
--- a/src/test/kotlin/plankwall/load/LoopbackServices.kt
+++ b/src/test/kotlin/plankwall/load/LoopbackServices.kt
@@ -162,3 +162,13 @@
         const val CATALOG = """{"builds":[{"name":"box","cores":64,"accelerators":8,"ram_gb":512,"cache_gb":200,"pull_gb_per_s":1.0,"rate":12.0,"low_price":4.5,"ready_s":45,"yards":["a"]}]}"""
     }
 }
+
+/** For trying the program by hand: state service and cloud until interrupted. */
+object LoopbackMain {
+    @JvmStatic
+    fun main(args: Array<String>) {
+        System.setProperty("sun.net.httpserver.nodelay", "true")
+        println(LoopbackServices().address)
+        Thread.sleep(Long.MAX_VALUE)
+    }
+}
--- a/src/test/kotlin/plankwall/sim/SimState.kt
+++ b/src/test/kotlin/plankwall/sim/SimState.kt
@@ -45,6 +45,11 @@
 
     fun value(key: String): Stored? = entries[key]?.value
 
+    /** The revision that first wrote [key] and the one that did last; 0: none. */
+    fun born(key: String): Long = history.firstOrNull { it.key == key }?.version ?: 0L
+
+    fun version(key: String): Long = entries[key]?.version ?: 0L
+
     val keys: Set<String> get() = entries.keys
 
     /** Puts and deletes executed so far. */
--- a/src/test/kotlin/plankwall/sim/World.kt
+++ b/src/test/kotlin/plankwall/sim/World.kt
@@ -36,7 +36,7 @@
     nodeCount: Int = 3,
     private val tuning: Tuning = Tuning(),
     private val stateNext: StateLimits? = null,
-    private val gate: ((node: String) -> GateSettings)? = null,
+    private val gate: ((node: String) -> GateSettings?)? = null,
 ) {
     val random = Random(seed)
     val clock = SimClock()
@@ -81,9 +81,10 @@
 
         fun start() {
             life++
+            val guarded = gate?.invoke(name)
             val incarnation = life.toLong() * 1_000_000 + name.hashCode() % 1000
-            core = Controller(own, tuning, incarnation, random.nextLong(), gate?.let { g -> { ctx -> Gatehouse(ctx, g(name)).also { house = it } } })
-            door = gate?.invoke(name)?.let { PeerDoor(PeerSeal(name, incarnation, it.peerKeys, it.allowUnsignedPeers, it.clockToleranceMs)) { null } }
+            core = Controller(own, tuning, incarnation, random.nextLong(), guarded?.let { g -> { ctx -> Gatehouse(ctx, g).also { house = it } } })
+            door = guarded?.let { PeerDoor(PeerSeal(name, incarnation, it.peerKeys, it.allowUnsignedPeers, it.clockToleranceMs)) { null } }
             val mine = life
             fun tick() {
                 if (life != mine || core == null) return
