--- a/src/main/kotlin/plankwall/cli/settings/IdentitiesFile.kt
+++ b/src/main/kotlin/plankwall/cli/settings/IdentitiesFile.kt
@@ -1,6 +1,5 @@
 package plankwall.cli.settings
 
-import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper
 import plankwall.access.BadRights
@@ -16,15 +15,7 @@
         "reads_only_after_s", "trail_share", "seal_s", "denials_per_s", "denial_burst", "workers_at_listed_address",
     )
 
-    fun read(file: File): GateSettings = try {
-        read(YAMLMapper().readTree(file), file.absoluteFile.parentFile)
-    } catch (e: JacksonException) {
-        throw BadSettings("$file: not YAML: ${e.originalMessage}")
-    } catch (e: IOException) {
-        throw BadSettings("$file: can't be read: ${e.message}")
-    } catch (e: BadSettings) {
-        throw BadSettings("$file: ${e.message}")
-    }
+    fun read(file: File): GateSettings = readSettings(file, YAMLMapper(), "YAML") { read(it, file.absoluteFile.parentFile) }
 
     /** Files are named as seen from [folder]. */
     fun read(root: JsonNode?, folder: File): GateSettings {
--- a/src/main/kotlin/plankwall/cli/settings/SettingsFile.kt
+++ b/src/main/kotlin/plankwall/cli/settings/SettingsFile.kt
@@ -1,6 +1,5 @@
 package plankwall.cli.settings
 
-import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.dataformat.toml.TomlMapper
 import plankwall.model.Address
@@ -12,22 +11,10 @@
 import plankwall.model.Team
 import plankwall.model.WorkerTimes
 import java.io.File
-import java.io.IOException
-
-/** A settings file that can't be used; the message says which file, which key and what would do. */
-class BadSettings(message: String) : Exception(message)
 
 /** Reads the platform's TOML file. Unknown fields are ignored: the platform may know more than we do. */
 object SettingsFile {
-    fun read(file: File): Settings = try {
-        read(TomlMapper().readTree(file))
-    } catch (e: JacksonException) {
-        throw BadSettings("$file: not TOML: ${e.originalMessage}")
-    } catch (e: IOException) {
-        throw BadSettings("$file: can't be read: ${e.message}")
-    } catch (e: BadSettings) {
-        throw BadSettings("$file: ${e.message}")
-    }
+    fun read(file: File): Settings = readSettings(file, TomlMapper(), "TOML") { read(it) }
 
     fun read(root: JsonNode): Settings {
         val external = table(root, "external")
--- a/src/main/kotlin/plankwall/cli/settings/TuningFile.kt
+++ b/src/main/kotlin/plankwall/cli/settings/TuningFile.kt
@@ -1,11 +1,9 @@
 package plankwall.cli.settings
 
-import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper
 import plankwall.model.Tuning
 import java.io.File
-import java.io.IOException
 
 /** Reads the operators' own YAML. An unknown key is refused: a misspelt one would silently change nothing. */
 object TuningFile {
@@ -23,15 +21,7 @@
         "outage_grace_leases" to Key(0.5..20.0) { t, v -> t.copy(outageGraceLeases = v) },
     )
 
-    fun read(file: File): Tuning = try {
-        read(YAMLMapper().readTree(file))
-    } catch (e: JacksonException) {
-        throw BadSettings("$file: not YAML: ${e.originalMessage}")
-    } catch (e: IOException) {
-        throw BadSettings("$file: can't be read: ${e.message}")
-    } catch (e: BadSettings) {
-        throw BadSettings("$file: ${e.message}")
-    }
+    fun read(file: File): Tuning = readSettings(file, YAMLMapper(), "YAML") { read(it) }
 
     fun read(root: JsonNode?): Tuning {
         if (root == null || root.isMissingNode || root.isNull) return Tuning()
--- a/src/main/kotlin/plankwall/core/front/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/front/FrontDesk.kt
@@ -53,52 +53,11 @@
 
     fun isLive(id: String): Boolean = ledger.isLive(id)
 
-    /** [visitor]: null where nobody has to prove who he is; he may do anything then, and nothing is recorded. */
-    private inner class Visit(val request: RequestId, val visitor: Visitor?) {
-        private var answered = false
-
-        fun answer(status: Int, body: ByteArray, retryAfterS: Int? = null) {
-            if (answered) return
-            answered = true
-            open--
-            ctx.out.answer(request, status, body, retryAfterS)
-        }
-
-        fun tooMany() = answer(429, JobCodec.error("too many requests"), 1)
-
-        fun later(why: String) = answer(503, JobCodec.error(why), 1)
-
-        fun unread() = later("the state service can't be read")
-
-        /** Tells what was decided, once the trail has it. */
-        fun told(allowed: Allowed, status: Int, body: ByteArray) {
-            if (visitor == null || allowed.verdict == null) {
-                answer(status, body)
-                return
-            }
-            visitor.record(Decision(allowed.action, allowed.job, allowed.verdict, status)) { stored ->
-                if (stored) answer(status, body) else later("the decision can't be recorded now")
-            }
-        }
-
-        fun accepted(allowed: Allowed, status: Int, view: JobView) = told(allowed, status, JobCodec.accepted(view))
-
-        /**
-         * What the rights say of [action] on [job] with [facts]; null if it was denied, which is being told then. Facts are null for
-         * a job that does not exist or whose owner nobody knows, so that a denial does not tell the two apart.
-         */
-        fun judge(action: Action, job: String, facts: JobFacts?): Allowed? {
-            if (visitor == null) return Allowed(action, job, null)
-            val verdict = visitor.judge(action, facts)
-            if (verdict.allowed) return Allowed(action, job, verdict)
-            told(Allowed(action, job, verdict), 403, JobCodec.error("you may not ${action.word} $job"))
-            return null
-        }
+    private fun begin(request: RequestId, visitor: Visitor?): Visit {
+        open++
+        return Visit(ctx, request, visitor) { open-- }
     }
 
-    /** That the rights allow it, or that there are none ([verdict] null). */
-    private class Allowed(val action: Action, val job: String, val verdict: Verdict?)
-
     private fun factsOf(record: JobRecord): JobFacts = record.spec.factsFor(record.owner)
 
     /** Why a submission can't be taken, whatever the store says of other jobs. */
@@ -106,8 +65,7 @@
 
     /** Admits a request if there is room and the store can be reached; else it is answered at once. */
     private fun visit(request: RequestId, stateCalls: Int, visitor: Visitor?): Visit? {
-        open++
-        val visit = Visit(request, visitor)
+        val visit = begin(request, visitor)
         if (open > MAX_OPEN || !calls.take(stateCalls)) {
             log.info("request refused: {} open, {} calls of the state service left", open - 1, calls.available().toInt())
             visit.tooMany()
@@ -122,8 +80,7 @@
 
     fun submit(request: RequestId, spec: JobSpec, visitor: Visitor? = null) {
         finder.ended(spec.id)?.let {
-            open++
-            val visit = Visit(request, visitor)
+            val visit = begin(request, visitor)
             visit.judge(Action.RESUBMIT, spec.id, it.facts)?.let { allowed -> visit.accepted(allowed, 200, finalView(spec.id, it)) }
             return
         }
@@ -277,8 +234,7 @@
 
     fun show(request: RequestId, id: String, visitor: Visitor? = null) {
         finder.ended(id)?.let {
-            open++
-            showFinal(Visit(request, visitor), id, it)
+            showFinal(begin(request, visitor), id, it)
             return
         }
         val visit = visit(request, 0, visitor) ?: return
@@ -343,8 +299,7 @@
 
     fun withdraw(request: RequestId, id: String, visitor: Visitor? = null) {
         finder.ended(id)?.let {
-            open++
-            withdrawFinal(Visit(request, visitor), id, it)
+            withdrawFinal(begin(request, visitor), id, it)
             return
         }
         val visit = visit(request, 2, visitor) ?: return
--- /dev/null
+++ b/src/main/kotlin/plankwall/core/front/Visit.kt
@@ -0,0 +1,60 @@
+package plankwall.core.front
+
+import plankwall.core.step.Action
+import plankwall.core.step.Context
+import plankwall.core.step.Decision
+import plankwall.core.step.RequestId
+import plankwall.core.step.Verdict
+import plankwall.core.step.Visitor
+import plankwall.model.JobFacts
+import plankwall.model.JobView
+import plankwall.wire.JobCodec
+
+/** That the rights allow it, or that there are none ([verdict] null). */
+internal class Allowed(val action: Action, val job: String, val verdict: Verdict?)
+
+/**
+ * A request at the front desk, answered once. [visitor]: null where nobody has to prove who he is; he may do anything then,
+ * and nothing is recorded.
+ */
+internal class Visit(private val ctx: Context, private val request: RequestId, val visitor: Visitor?, private val closed: () -> Unit) {
+    private var answered = false
+
+    fun answer(status: Int, body: ByteArray, retryAfterS: Int? = null) {
+        if (answered) return
+        answered = true
+        closed()
+        ctx.out.answer(request, status, body, retryAfterS)
+    }
+
+    fun tooMany() = answer(429, JobCodec.error("too many requests"), 1)
+
+    fun later(why: String) = answer(503, JobCodec.error(why), 1)
+
+    fun unread() = later("the state service can't be read")
+
+    /** Tells what was decided, once the trail has it. */
+    fun told(allowed: Allowed, status: Int, body: ByteArray) {
+        if (visitor == null || allowed.verdict == null) {
+            answer(status, body)
+            return
+        }
+        visitor.record(Decision(allowed.action, allowed.job, allowed.verdict, status)) { stored ->
+            if (stored) answer(status, body) else later("the decision can't be recorded now")
+        }
+    }
+
+    fun accepted(allowed: Allowed, status: Int, view: JobView) = told(allowed, status, JobCodec.accepted(view))
+
+    /**
+     * What the rights say of [action] on [job] with [facts]; null if it was denied, which is being told then. Facts are null for
+     * a job that does not exist or whose owner nobody knows, so that a denial does not tell the two apart.
+     */
+    fun judge(action: Action, job: String, facts: JobFacts?): Allowed? {
+        if (visitor == null) return Allowed(action, job, null)
+        val verdict = visitor.judge(action, facts)
+        if (verdict.allowed) return Allowed(action, job, verdict)
+        told(Allowed(action, job, verdict), 403, JobCodec.error("you may not ${action.word} $job"))
+        return null
+    }
+}
--- a/src/main/kotlin/plankwall/gate/Gatehouse.kt
+++ b/src/main/kotlin/plankwall/gate/Gatehouse.kt
@@ -133,8 +133,8 @@
 
     /** Turned away at the door, told only once that is in the trail. */
     private fun refuse(request: RequestId, who: Who, status: Int, reason: String, network: String) {
+        // Only the network: with a captured token anybody could else use up what its owner may be denied.
         byNetwork.denied(network)
-        if (who.name.isNotEmpty()) byPrincipal.denied(who.name)
         log.info("{} from {} refused: {}", who.name.ifEmpty { "nobody known" }, network, reason)
         trail.note(entry(who, "enter", "", Verdict(false, reason), status)) { stored ->
             if (stored) ctx.out.answer(request, status, JobCodec.error(reason)) else unstored(request)
--- /dev/null
+++ b/src/test/kotlin/plankwall/load/RevocationReach.kt
@@ -0,0 +1,28 @@
+package plankwall.load
+
+import org.HdrHistogram.Histogram
+import plankwall.gate.Callers
+import plankwall.sim.World
+
+/** How long after a publication was confirmed the last of seven nodes goes by it; by hand, in virtual time. */
+object RevocationReach {
+    @JvmStatic
+    fun main(args: Array<String>) {
+        val reach = Histogram(60_000, 3)
+        for (seed in 0L until 20) {
+            val world = World(seed, 7, gate = { Callers.settings(it) })
+            val callers = Callers(world)
+            world.clock.runUntil(5.0)
+            for (n in 1L..25) {
+                world.clock.runUntil(world.clock.now + world.random.nextDouble())
+                val asked = callers.publish("root", n, Callers.rights(more = "# $n"))
+                while (asked.status == 0) world.clock.runUntil(world.clock.now + 0.001)
+                check(asked.status == 200) { asked.body }
+                val told = world.clock.now
+                while (world.nodes.any { it.house?.version != n + 1 }) world.clock.runUntil(world.clock.now + 0.001)
+                reach.recordValue(((world.clock.now - told) * 1000).toLong())
+            }
+        }
+        println("ms from the answer until the last of 7 nodes: ${reach.totalCount} publications, " + listOf(50.0, 90.0, 99.0, 100.0).joinToString(", ") { "p${it.toInt()} ${reach.getValueAtPercentile(it)}" })
+    }
+}
