--- a/src/main/kotlin/plankwall/cli/Main.kt
+++ b/src/main/kotlin/plankwall/cli/Main.kt
@@ -13,7 +13,7 @@
     description = ["A cluster scheduler: rents machines and runs jobs on them."],
     mixinStandardHelpOptions = true,
     versionProvider = Version::class,
-    subcommands = [Serve::class, CheckSettings::class, Submit::class, Show::class, Withdraw::class, WarmUp::class],
+    subcommands = [Serve::class, WarmUp::class],
 )
 class Plankwall : Runnable {
     override fun run() = CommandLine.usage(this, System.out)
@@ -39,8 +39,10 @@
 fun main(args: Array<String>) {
     configureLogging()
     val line = CommandLine(Plankwall())
-    // A node that starts on a third of a core need not load commands that it is not asked for.
-    if (args.firstOrNull() != "serve") line.addSubcommand(KeysCommand()).addSubcommand(RightsCommand()).addSubcommand(AuditCommand())
+    // A node that starts on a third of a core need not load commands that it is not asked for, nor have them in its archive.
+    if (args.firstOrNull() !in setOf("serve", "warm-up")) {
+        listOf(CheckSettings(), Submit(), Show(), Withdraw(), KeysCommand(), RightsCommand(), AuditCommand()).forEach { line.addSubcommand(it) }
+    }
     line.isCaseInsensitiveEnumValuesAllowed = true
     line.executionExceptionHandler = CommandLine.IExecutionExceptionHandler { e, cmd, _ ->
         if (e !is BadSettings) throw e
