What a new leader never heard counts: cut zones left alone, live services rented for

After every take-over with a dead machine nothing was rented for 16 s; during a halt nothing at all, live services included; a leader in a cut zone went on deciding what it could not store.

Change: core/outlook holds the leader's beliefs on machines it does not hear. Machines known from store or list count in a cut and in what is "few silent". Renting goes on once the first workers are back (7 s), those still awaited counting as present; live services are rented for through a halt, and for replicas believed lost before these are proven gone. Nothing starts earlier than before: the proofs are untouched. Without a valid lease the loop decides nothing.

--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -10,6 +10,7 @@
 import plankwall.core.lead.LeaderStore
 import plankwall.core.lead.Leadership
 import plankwall.core.lead.Upgrade
+import plankwall.core.outlook.Outlook
 import plankwall.core.placing.Placer
 import plankwall.core.rental.RentalLoop
 import plankwall.core.step.Context
@@ -38,7 +39,8 @@
     private val book = JobBook(ctx, store, fleet)
     private val desk = WorkerDesk(ctx, leadership, book, fleet)
     private val placer = Placer(ctx, book, fleet)
-    private val rental = RentalLoop(ctx, store, book, fleet, placer, ctx.now)
+    private val outlook = Outlook(ctx, fleet, ctx.now)
+    private val rental = RentalLoop(ctx, store, book, fleet, placer, outlook, ctx.now)
     private val upgrade = Upgrade(leadership, store)
     private val teller = ProgressTeller(book)
     private var loaded = false
@@ -114,17 +116,18 @@
     /**
      * Most workers have missed a report here and turn up at peers instead: whoever they can reach should lead, and soon,
      * for their leases are running out. Where no peer is heard that could tell of it, all must be silent: a leader whose
-     * peers and most of whose machines are in another zone, which is cut off, has to go on with the rest.
+     * peers and most of whose machines are in another zone, which is cut off, has to go on with the rest. Machines that a
+     * new leader knows of and has never heard count too: one that can't be reached from the start must not keep the lead.
      */
     private fun handOverIfCutOff() {
-        val known = fleet.machines.filter { it.registered && !it.returning }
+        val known = fleet.machines.filter { (it.registered && !it.returning) || outlook.isAwaited(it) }
         if (known.size < 2 || ctx.now < leadership.wonAt + HAND_OVER_AFTER_S || !leadership.mayWrite) return
         val missed = ctx.settings.workers.reportS * MISSED_REPORTS + 1.0
         val silent = known.count { ctx.now - it.lastHeard > missed }
         if (silent * 2 <= known.size) return
         val peers = leadership.livePeers()
         val strays = peers.filter { it.stateReachable }.sumOf { it.strayWorkers }
-        val alone = peers.isEmpty() && ctx.settings.peers.isNotEmpty() && silent == known.size
+        val alone = peers.isEmpty() && ctx.settings.peers.isNotEmpty() && silent == known.size && known.count { it.registered } >= 2
         if (!alone && strays * 2 <= known.size) return
         val elsewhere = if (alone) "no peer is heard" else "$strays turn up at peers"
         leadership.yield("$silent of ${known.size} machines silent here, $elsewhere", dropLease = true)
--- a/src/main/kotlin/plankwall/core/jobs/ZoneRule.kt
+++ b/src/main/kotlin/plankwall/core/jobs/ZoneRule.kt
@@ -2,15 +2,16 @@
 
 /**
  * What `one zone` and `spread` allow for the next task of a job, given all its tasks that are not proven gone. A task
- * on a machine of unknown zone rules out every further one.
+ * on a machine of unknown zone rules out every further one. [without]: tasks to be replaced, which only a plan may leave out.
  */
-class ZoneRule(private val job: Job) {
+class ZoneRule(private val job: Job, without: Set<Placement> = emptySet()) {
     private val perZone = HashMap<String, Int>()
     private var unknown = false
 
     init {
         if (job.spec.oneZone || job.spec.spread) {
             for (p in job.placements.values) {
+                if (p in without) continue
                 val zone = p.machine.group?.zone
                 if (zone == null) unknown = true else perZone.merge(zone, 1, Int::plus)
             }
--- a/src/main/kotlin/plankwall/core/lead/LeaderStore.kt
+++ b/src/main/kotlin/plankwall/core/lead/LeaderStore.kt
@@ -37,6 +37,9 @@
     /** Below this [room] only what somebody waits for is written. */
     val scarce: Int = (ctx.settings.stateTight.writeRps * 0.25).toInt()
 
+    /** Whether what is decided now could be stored at all: a leader that may have been replaced decides nothing. */
+    val mayWrite: Boolean get() = leadership.mayWrite
+
     /** How many puts and deletes may be sent now. */
     fun room(): Int = if (leadership.mayWrite && calls.available() >= 1) writes.available().toInt() else 0
 
--- a/src/main/kotlin/plankwall/core/rental/ClusterStateRegistry.kt
+++ b/src/main/kotlin/plankwall/core/rental/ClusterStateRegistry.kt
@@ -3,6 +3,7 @@
 import plankwall.core.jobs.Arrival
 import plankwall.core.jobs.Fleet
 import plankwall.core.jobs.Machine
+import plankwall.core.outlook.Outlook
 import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.wire.ListedState
@@ -26,38 +27,26 @@
 
     /** S2: a group with many unready or failed starts is not expanded. */
     val healthy: Boolean get() = unready + late <= maxOf(2, (registered + late) / 3)
+
+    /** Of S2 the part that says what becomes of new machines; those that died at work say nothing about it. */
+    val startsFail: Boolean get() = late > maxOf(2, (registered + late) / 3)
 }
 
 /**
  * The paper's cluster state registry: is the whole in good shape (S1), is each group (S2), what should arrive soon
  * (S3). It only reads; the rental loop acts.
  */
-class ClusterStateRegistry(private val ctx: Context, private val fleet: Fleet) {
+class ClusterStateRegistry(private val ctx: Context, private val fleet: Fleet, private val outlook: Outlook) {
     var groups: Map<GroupKey, GroupHealth> = emptyMap()
         private set
-    var cutZones: Set<String> = emptySet()
-        private set
+    val cutZones: Set<String> get() = outlook.cutZones
     var registered = 0
         private set
     var unexplained = 0
         private set
 
-    private val troubled = HashMap<String, Double>()
-
-    /** When more than one machine in three (and more than one) of [zone] were last late with their reports. */
-    fun troubledAt(zone: String): Double = troubled[zone] ?: Machine.NEVER
-
-    private fun noteTrouble() {
-        val perZone = fleet.machines.filter { it.registered && !it.returning }.groupBy { it.group?.zone }
-        for ((zone, machines) in perZone) {
-            val late = machines.count { ctx.now - it.lastHeard > ctx.settings.workers.reportS * LATE_REPORTS }
-            if (zone != null && late > maxOf(1, machines.size / 3)) troubled[zone] = ctx.now
-        }
-    }
-
     fun refresh(arrivals: Map<String, Arrival>) {
-        noteTrouble()
-        cutZones = findCutZones()
+        outlook.refresh()
         val found = HashMap<GroupKey, GroupHealth>()
         registered = 0
         unexplained = 0
@@ -88,25 +77,8 @@
     private fun isExplained(m: Machine, key: GroupKey): Boolean =
         m.returning || m.noticeAt > Machine.NEVER || m.listed == ListedState.FAILED || key.zone in cutZones
 
-    /** A zone that falls silent nearly whole, while another does not, is cut off rather than broken. */
-    private fun findCutZones(): Set<String> {
-        val all = HashMap<String, Int>()
-        val silent = HashMap<String, Int>()
-        for (m in fleet.machines) {
-            val zone = m.group?.zone ?: continue
-            if (!m.registered || m.returning) continue
-            all.merge(zone, 1, Int::plus)
-            if (!fleet.isReady(m)) silent.merge(zone, 1, Int::plus)
-        }
-        return all.filter { (zone, n) -> n >= 2 && (silent[zone] ?: 0) >= n * 0.8 }.keys
-    }
-
     fun group(key: GroupKey): GroupHealth = groups[key] ?: GroupHealth(key)
 
-    private companion object {
-        const val LATE_REPORTS = 1.7
-    }
-
     /** S1: most machines are ready. A handful of silent ones is no sign of a broad failure, whatever their share. */
     val inGoodShape: Boolean
         get() = unexplained < 3 || unexplained <= registered * ctx.tuning.haltUnreadyShare
--- a/src/main/kotlin/plankwall/core/rental/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/rental/Estimator.kt
@@ -3,6 +3,7 @@
 import plankwall.core.jobs.Job
 import plankwall.core.jobs.JobBook
 import plankwall.core.jobs.Machine
+import plankwall.core.jobs.Placement
 import plankwall.core.jobs.ZoneRule
 import plankwall.core.placing.Placer
 import plankwall.core.placing.Room
@@ -11,6 +12,7 @@
 import plankwall.model.GroupKey
 import plankwall.model.MachineType
 import plankwall.model.Resources
+import plankwall.model.Shape
 
 /**
  * How many machines the waiting tasks need beyond what is still to arrive (the paper's step 7). Waiting tasks are
@@ -51,6 +53,10 @@
 
     private fun newMachineIn(job: Job, type: MachineType) = type.bootS + type.fetchS(job.spec.imageGb)
 
+    /**
+     * Machines to rent, by group. [lost]: replicas to be replaced beside what waits, though nothing proves them gone yet.
+     * [mayExpandForLive]: where a live service may have machines when no group that [mayExpand] allows would do.
+     */
     fun estimate(
         running: List<Machine>,
         unplaced: List<Job>,
@@ -58,6 +64,8 @@
         arriving: List<GroupKey>,
         mayExpand: (GroupKey) -> Boolean,
         growth: Growth,
+        lost: Map<Job, Set<Placement>> = emptyMap(),
+        mayExpandForLive: (GroupKey) -> Boolean = mayExpand,
         owned: (zone: String) -> Int,
     ): Map<GroupKey, Int> {
         val bins = ArrayList<Bin>()
@@ -68,16 +76,21 @@
         val ordered = HashMap<String, Int>()
         var considered = 0
         for (job in unplaced) {
-            val zones = ZoneRule(job)
+            val gone = lost[job].orEmpty()
+            // They still count as used, in the team's limit too; their replacements take their place, not another.
+            if (gone.isNotEmpty()) planned.merge(job.team.value, Resources.NONE - job.spec.need * gone.size, Resources::plus)
+            val zones = ZoneRule(job, gone)
             val zone = job.gatherZone?.takeIf { z -> catalog.types.any { t -> mayExpand(GroupKey(t.name, z, false)) } }
-            var waiting = waitingOf(job)
+            var waiting = waitingOf(job) + gone.size
             // All tasks of a job ask for the same: a bin that had no room for one has none for the next.
             var at = 0
             while (waiting-- > 0 && considered++ < MAX_TASKS) {
                 if (!withinLimit(job, planned)) break
                 while (at < bins.size && !((zone == null || bins[at].group.zone == zone) && fits(job, bins[at], zones))) at++
                 if (at == bins.size) {
-                    val group = cheapest(job, zones, zone, waiting + 1, mayExpand) { z -> owned(z) + (ordered[z] ?: 0) } ?: break
+                    fun cheapestOf(allowed: (GroupKey) -> Boolean) =
+                        cheapest(job, zones, zone, waiting + 1, allowed) { z -> owned(z) + (ordered[z] ?: 0) }
+                    val group = cheapestOf(mayExpand) ?: (if (job.spec.shape == Shape.SERVICE) cheapestOf(mayExpandForLive) else null) ?: break
                     bins.add(Bin(group, catalog[group.type]?.capacity ?: Resources.NONE))
                     wanted.merge(group, 1, Int::plus)
                     ordered.merge(group.zone, 1, Int::plus)
--- a/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -3,16 +3,19 @@
 import org.slf4j.LoggerFactory
 import plankwall.core.jobs.Arrival
 import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Job
 import plankwall.core.jobs.JobBook
 import plankwall.core.jobs.Machine
 import plankwall.core.lead.LeaderStore
+import plankwall.core.outlook.Outlook
 import plankwall.core.placing.Placer
 import plankwall.core.step.Context
+import plankwall.model.Catalog
 import plankwall.model.GroupKey
+import plankwall.model.Shape
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
 import plankwall.wire.FleetRecord
-import plankwall.wire.ListedState
 import plankwall.wire.StateItem
 import plankwall.wire.StoredArrival
 import plankwall.wire.StoredRental
@@ -27,13 +30,14 @@
     private val book: JobBook,
     private val fleet: Fleet,
     private val placer: Placer,
+    private val outlook: Outlook,
     private val startedAt: Double,
 ) {
     private val log = LoggerFactory.getLogger("rental")
-    private val registry = ClusterStateRegistry(ctx, fleet)
+    private val registry = ClusterStateRegistry(ctx, fleet, outlook)
     private val memory = FleetMemory(store)
     private val lastRental = HashMap<GroupKey?, Double>()
-    private val returns = Returns(ctx, store, book, fleet, registry, memory, startedAt) { lastRental[it] ?: Machine.NEVER }
+    private val returns = Returns(ctx, store, book, fleet, registry, outlook, memory, startedAt) { lastRental[it] ?: Machine.NEVER }
     private val cloudList = CloudList(ctx, store, fleet, memory)
 
     private class Rental(val stored: StoredRental) {
@@ -56,7 +60,6 @@
     private var nextRequest = 0L
     private var nextRound = 0.0
     private var haltedUntil = 0.0
-    private val pausedUntilHeard = startedAt + ctx.settings.workers.reportS * 3 + 4.0
 
     init {
         placer.rentsWhere(::mayExpand)
@@ -77,7 +80,8 @@
     fun tick() {
         cloudList.poll()
         arrivals.values.removeIf { arrived(it) }
-        if (ctx.now >= nextRound) {
+        // What can't be stored is not decided: a leader that is cut off would log rentals and returns that never happen.
+        if (ctx.now >= nextRound && store.mayWrite) {
             nextRound = ctx.now + ROUND_S
             round()
         }
@@ -103,36 +107,48 @@
         val catalog = fleet.catalog ?: return
         registry.refresh(arrivals)
         returns.returnFailed()
-        // Right after a take-over the workers that we know of are silent because they are still on their way to us.
-        if (ctx.now < pausedUntilHeard && fleet.machines.any { awaited(it) }) return
-        if (ctx.now < haltedUntil) return
-        if (!registry.inGoodShape) {
+        // Right after a take-over nearly all workers that we know of are silent because they are on their way to us.
+        if (outlook.settling && !outlook.firstAreBack) return
+        if (ctx.now >= haltedUntil && !registry.inGoodShape) {
             haltedUntil = ctx.now + ctx.tuning.haltRetryS
             fleet.machines.forEach { it.unneededSince = Machine.NEVER }
             log.warn("halted: {} of {} machines unready without explanation", registry.unexplained, registry.registered)
+        }
+        val usable = fleet.machines.filter { placer.usable(it) }
+        val halted = ctx.now < haltedUntil
+        if (halted || outlook.settling) {
+            // Those still on their way count as there, with what room they have beside what is stored as placed on them.
+            val present = usable + fleet.machines.filter { it.type != null && outlook.isAwaited(it) }
+            // Live services alone go on during a halt: what waits of them is known from the store, not from who is silent.
+            expand(catalog, present, Growth.NONE) { !halted || it.spec.shape == Shape.SERVICE }
             return
         }
         returnUnregistered()
         if (cutShortGroups()) return
-        val arriving = arrivals.values.filter { mayBeCountedOn(it) }.map { it.group } +
-            rentals.values.flatMap { r -> List(r.stored.count) { r.stored.group } }
-        val waiting = placer.unplaced.filter { placer.unreserved(it) > 0 }
         val lead = catalog.types.maxOfOrNull { it.bootS } ?: return
         val growth = owed.expect(book.live, lead)
-        val usable = fleet.machines.filter { placer.usable(it) }
+        expand(catalog, usable, growth) { true }
+        consolidation.refresh(usable, any.expect(book.live, lead).all)
+        returns.returnUnneeded(usable, growth)
+    }
+
+    private fun expand(catalog: Catalog, running: List<Machine>, growth: Growth, serves: (Job) -> Boolean) {
+        val arriving = arrivals.values.filter { mayBeCountedOn(it) }.map { it.group } +
+            rentals.values.flatMap { r -> List(r.stored.count) { r.stored.group } }
+        val lost = outlook.endangered()
+        val waiting = (lost.keys + placer.unplaced.filter { placer.unreserved(it) > 0 }).filter(serves)
         val owned = fleet.machines.filter { !it.returning }.groupingBy { it.group?.zone }.eachCount()
         val wanted = Estimator(ctx, book, catalog).estimate(
-            usable, waiting, placer::unreserved, arriving, ::mayExpand, growth,
+            running, waiting, placer::unreserved, arriving, ::mayExpand, growth, lost, ::mayExpandForLive,
         ) { zone -> owned[zone] ?: 0 }
-        consolidation.refresh(usable, any.expect(book.live, lead).all)
         wanted.forEach { (group, count) -> rent(group, count, waiting.size) }
-        returns.returnUnneeded(usable, growth)
     }
 
-    private fun awaited(m: Machine): Boolean = !m.registered && !m.returning && m.id !in arrivals && m.listed != ListedState.FAILED
+    private fun mayExpand(key: GroupKey): Boolean = isOpen(key) && registry.group(key).healthy
+
+    private fun mayExpandForLive(key: GroupKey): Boolean = isOpen(key) && !registry.group(key).startsFail
 
-    private fun mayExpand(key: GroupKey): Boolean =
-        (noCapacityUntil[key] ?: 0.0) <= ctx.now && key.zone !in registry.cutZones && registry.group(key).healthy
+    private fun isOpen(key: GroupKey): Boolean = (noCapacityUntil[key] ?: 0.0) <= ctx.now && key.zone !in registry.cutZones
 
     private fun rent(group: GroupKey, count: Int, waiting: Int) {
         var left = count
--- a/src/main/kotlin/plankwall/core/rental/Returns.kt
+++ b/src/main/kotlin/plankwall/core/rental/Returns.kt
@@ -6,6 +6,7 @@
 import plankwall.core.jobs.Machine
 import plankwall.core.jobs.StopCause
 import plankwall.core.lead.LeaderStore
+import plankwall.core.outlook.Outlook
 import plankwall.core.placing.Room
 import plankwall.core.step.Context
 import plankwall.model.GroupKey
@@ -21,6 +22,7 @@
     private val book: JobBook,
     private val fleet: Fleet,
     private val registry: ClusterStateRegistry,
+    private val outlook: Outlook,
     private val memory: FleetMemory,
     private val startedAt: Double,
     private val rentedAt: (GroupKey?) -> Double,
@@ -45,15 +47,17 @@
 
     /**
      * A machine that falls silent with work on it, alone: an answered deletion frees the work sooner than the lease
-     * would. Whole zones and whole fleets that fall silent are cut off, and keep working; they are left alone.
+     * would. Whole zones and whole fleets that fall silent are cut off, and keep working; they are left alone, by a leader
+     * that has never heard them as by one that did: a new one once deleted 63 sound machines in a zone cut off before its time.
      */
     private fun silentAlone(m: Machine): Boolean {
-        if (fleet.isReady(m) || m.placements.isEmpty() || !registry.inGoodShape) return false
+        if (fleet.isReady(m) || m.placements.isEmpty() || !registry.inGoodShape || !outlook.fewSilent) return false
         if (!m.registered && m.id in fleet.arrivals) return false
         // After a cut or a take-over the last worker finds its way back many seconds after the first. One that has been
         // heard since the take-over was back already.
         val zone = m.group?.zone ?: return false
-        val from = if (m.registered) registry.troubledAt(zone) else maxOf(startedAt, registry.troubledAt(zone))
+        if (zone in outlook.cutZones) return false
+        val from = if (m.registered) outlook.troubledAt(zone) else maxOf(startedAt, outlook.troubledAt(zone))
         return ctx.now - from > ctx.settings.workers.reportS * WAY_BACK_REPORTS
     }
 
--- a/src/test/kotlin/plankwall/EstimatorTest.kt
+++ b/src/test/kotlin/plankwall/EstimatorTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.rental.Estimator
 import plankwall.core.rental.Growth
+import plankwall.model.Shape
 import plankwall.sim.CoreParts
 import plankwall.sim.World
 
@@ -32,7 +33,28 @@
         core.book.place(running, 0, m, 1).runningSince = ctx.now - runS + endsInS
         val waiting = learn(4, gpus, 20.0, waitedS)
         val wanted = Estimator(ctx, core.book, World.CATALOG).estimate(
-            listOf(m), listOf(waiting), { it.waiting.size }, List(arriving) { CoreParts.GROUP }, { true }, Growth.NONE, { 0 },
+            listOf(m), listOf(waiting), { it.waiting.size }, List(arriving) { CoreParts.GROUP }, { true }, Growth.NONE, owned = { 0 },
+        )
+        assertEquals(rented, wanted.values.sum(), name)
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // name, replicas, of them on a machine believed lost, spread, healthy groups, where starts do not fail, machines rented
+        "'four replicas fill one machine', 8, 4, false, true, true, 1",
+        "'their own zone is open to them again', 8, 4, true, true, true, 1",
+        "'a limit that the lost ones still use up', 16, 8, false, true, true, 2",
+        "'no sound group: any where machines come up', 8, 4, false, false, true, 1",
+        "'nor there', 8, 4, false, false, false, 0",
+    )
+    fun `rents for replicas that are believed lost`(name: String, tasks: Int, lost: Int, spread: Boolean, healthy: Boolean, starts: Boolean, rented: Int) {
+        val job = core.learn(World.job(1, Shape.SERVICE, tasks = tasks, team = "red", spread = spread))
+        val silent = core.machine("i-000001")
+        val other = core.machine("i-000002")
+        val placed = (0 until tasks).map { core.book.place(job, it, if (it < lost) silent else other, it + 1L) }
+        val wanted = Estimator(ctx, core.book, World.CATALOG).estimate(
+            emptyList(), listOf(job), { it.waiting.size }, emptyList(), { healthy }, Growth.NONE,
+            mapOf(job to placed.take(lost).toSet()), { starts }, { if (it == "a") 0 else 5 },
         )
         assertEquals(rented, wanted.values.sum(), name)
     }
--- /dev/null
+++ b/src/test/kotlin/plankwall/OutlookDaysTest.kt
@@ -0,0 +1,77 @@
+package plankwall
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import plankwall.model.Shape
+import plankwall.sim.World
+
+/** Days on which many machines fall silent together: what is left alone, and what is rented before anything is proven. */
+class OutlookDaysTest {
+    private val world = World(5)
+
+    /** A site at work with [tasks] replicas, four to a machine; returns the leader. */
+    private fun atWork(tasks: Int): World.Node {
+        world.clock.after(2.0) { world.submit(World.job(1, Shape.SERVICE, tasks = tasks)) }
+        world.clock.runUntil(45.0)
+        assertEquals(tasks / 4, world.cloud.alive.size)
+        return world.nodes.first { it.leading }
+    }
+
+    private fun rented(): Set<String> = world.cloud.alive.map { it.id }.toSet()
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // name, cut for the new leader: zone b, or all workers at every node; seconds
+        "'a zone that was cut before the take-over', true, 35",
+        "'a leader that no worker can reach', false, 35",
+    )
+    fun `a new leader deletes nothing that is behind a cut`(name: String, zoneOnly: Boolean, forS: Double) {
+        val first = atWork(24)
+        val before = rented()
+        first.crash(200.0)
+        if (zoneOnly) world.cutZones.add("b") else world.nodes.forEach { world.cuts.add("${it.name}-workers") }
+        world.clock.runUntil(45.0 + forS)
+        assertTrue(rented().containsAll(before), "$name: gone are ${before - rented()}")
+        world.cutZones.clear()
+        world.cuts.clear()
+        world.clock.runUntil(200.0)
+        assertEquals("running", world.stageOf("job-000001"))
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // name, the leader goes too, machines that die, seconds until others must be rented
+        // Leases of 15 s are surely over after 16 s, or that long after the word of all peers.
+        "'half of the fleet dies: halted, but not for a live service', false, 3, 13",
+        "'a few die', false, 1, 13",
+        "'half of the fleet and the leader', true, 3, 18",
+    )
+    fun `replicas believed lost are rented for before they are proven gone`(name: String, leaderToo: Boolean, die: Int, withinS: Double) {
+        val first = atWork(24)
+        if (leaderToo) first.crash(8.0)
+        // Some of each zone: one that is silent as a whole would count as cut off.
+        world.cloud.workers.groupBy { it.group.zone }.values.flatMap { it.take(2) }.take(die).forEach { it.die() }
+        world.clock.runUntil(45.0 + withinS)
+        assertEquals(6 + die, world.cloud.rentals, name)
+        world.clock.runUntil(160.0)
+        assertEquals("running", world.stageOf("job-000001"))
+        assertEquals(24 + 4 * die, world.checker.starts, "$name: each lost replica started once more")
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+
+    @Test
+    fun `what waits is rented for as soon as the first workers are back, whoever else is still on the way`() {
+        val first = atWork(24)
+        first.crash(8.0)
+        world.cloud.workers.first().die()
+        world.clock.after(0.5) { world.submit(World.job(2, tasks = 4)) }
+        while (world.nodes.none { it.leading && it !== first }) world.clock.runUntil(world.clock.now + 0.1)
+        world.clock.runUntil(world.clock.now + 7.0)
+        assertEquals(7, world.cloud.rentals)
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+}
--- a/src/test/kotlin/plankwall/RegistryTest.kt
+++ b/src/test/kotlin/plankwall/RegistryTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.jobs.Arrival
 import plankwall.core.jobs.Fleet
+import plankwall.core.outlook.Outlook
 import plankwall.core.rental.ClusterStateRegistry
 import plankwall.core.step.Context
 import plankwall.model.GroupKey
@@ -16,7 +17,7 @@
 class RegistryTest {
     private val ctx = Context(World.settings("n0", 3), Tuning(), 1, Random(1)).apply { time.advance(1000.0, 0) }
     private val fleet = Fleet(ctx).apply { catalog = World.CATALOG }
-    private val registry = ClusterStateRegistry(ctx, fleet)
+    private val registry = ClusterStateRegistry(ctx, fleet, Outlook(ctx, fleet, 0.0))
     private var next = 0
 
     private fun add(zone: String, count: Int, heardAgo: Double, returning: Boolean = false) = repeat(count) {
--- a/src/test/kotlin/plankwall/sim/World.kt
+++ b/src/test/kotlin/plankwall/sim/World.kt
@@ -54,6 +54,9 @@
     /** Pairs that can't reach each other, as "n0-state", "n1-workers", "n2-peers". */
     val cuts = HashSet<String>()
 
+    /** Zones whose workers reach nobody and are reached by nobody. */
+    val cutZones = HashSet<String>()
+
     /** Called before each effect is carried out; what it crashes does nothing more. */
     var onEffect: (Node, Effect) -> Unit = { _, _ -> }
 
@@ -139,7 +142,7 @@
                     later(mine, 0.1) { Input.CloudReply(e.call, if (random.nextDouble() < loss) CloudResult.Trouble else result) }
                 }
                 is Effect.WorkerPost -> if ("$name-workers" !in cuts) clock.after(0.01) {
-                    val answer = cloud.worker(e.address)?.command(SimWorker.json.readTree(e.body))
+                    val answer = cloud.worker(e.address)?.takeIf { it.group.zone !in cutZones }?.command(SimWorker.json.readTree(e.body))
                     if (answer != null) later(mine, 0.01) { Input.WorkerReply(e.machine, answer.second) }
                 }
                 is Effect.PeerSend -> if ("$name-peers" !in cuts) {
@@ -168,7 +171,7 @@
     }
 
     fun checkIn(worker: SimWorker, node: Node, report: Report, then: (Int, JsonNode) -> Unit) {
-        if (!node.up || "${node.name}-workers" in cuts) return
+        if (!node.up || "${node.name}-workers" in cuts || worker.group.zone in cutZones) return
         clock.after(0.005) {
             if (node.up) node.ask({ Input.CheckIn(it, report) }) { status, body ->
                 if (random.nextDouble() >= loss) clock.after(0.005) { then(status, SimWorker.json.readTree(body)) }
