Links between controllers are made anew when the other side ends them, or grow old

The sender never reads, so it went on writing into the closed link without an error for as long as both processes lived. No later leader then had the word of all its peers: "every peer follows" came 41 to 72 s after a take-over or never, so leases counted as over only after the outage grace of 54 to 84 s; strays of a leader cut off from its workers were not heard of either.

Change: the sender watches for the end of the link, and gives up any link after 30 s, for ends that are lost on the way. Older receivers need nothing for it.

--- a/src/main/kotlin/plankwall/io/PeerLinks.kt
+++ b/src/main/kotlin/plankwall/io/PeerLinks.kt
@@ -5,6 +5,7 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.discard
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
@@ -13,10 +14,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import plankwall.model.Address
 import plankwall.model.Peer
@@ -51,14 +54,8 @@
         while (scope.isActive) {
             try {
                 val socket = withTimeout(IO_MS) { aSocket(selector).tcp().connect(peer.host, peer.port) { noDelay = true } }
-                socket.use {
-                    val output = it.openWriteChannel(autoFlush = false)
-                    for (frame in queue) withTimeout(IO_MS) {
-                        output.writeInt(frame.size)
-                        output.writeFully(frame)
-                        output.flush()
-                    }
-                }
+                socket.use { feed(it, queue) }
+                log.debug("link to {}: ended or old, made anew", peer.node)
             } catch (e: Exception) {
                 if (e is CancellationException && !scope.isActive) throw e
                 log.debug("link to {}: {}", peer.node, e.toString())
@@ -67,6 +64,30 @@
         }
     }
 
+    /**
+     * Sends what comes until the link fails, is closed or grows old. A receiver closes a link that was silent for a while,
+     * as in a cut; frames written to it afterwards went nowhere and raised no error, for as long as both processes lived,
+     * and every later leader waited in vain for the word of all its peers. Nothing is ever sent back, so the first thing
+     * read is the end; and a link whose end was lost on the way is given up for its age.
+     */
+    private suspend fun feed(socket: Socket, queue: Channel<ByteArray>) = coroutineScope {
+        val output = socket.openWriteChannel(autoFlush = false)
+        val writing = launch {
+            for (frame in queue) withTimeout(IO_MS) {
+                output.writeInt(frame.size)
+                output.writeFully(frame)
+                output.flush()
+            }
+        }
+        val reading = launch {
+            socket.openReadChannel().discard()
+            writing.cancel()
+        }
+        withTimeoutOrNull(LIFE_MS) { writing.join() }
+        writing.cancel()
+        reading.cancel()
+    }
+
     suspend fun listen(address: Address) {
         val listener = aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
         scope.launch { acceptAll(listener, { incoming < maxIncoming }, ::receive) }
@@ -106,5 +127,6 @@
         const val IO_MS = 2_000L
         const val RETRY_MS = 700L
         const val SILENT_MS = 10_000L
+        const val LIFE_MS = 30_000L
     }
 }
