A machine silent alone is deleted early for the sake of replicas only

Dead machines lose nothing by that, hung ones a boot of 40 s and their images, at 50 to 165 s a fetch.

Change: it is done where a live service has a replica on the machine, whose every second counts, or where the lease would prove nothing for longer than a lease; other work waits for the lease.

--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -40,7 +40,7 @@
     private val desk = WorkerDesk(ctx, leadership, book, fleet)
     private val placer = Placer(ctx, book, fleet)
     private val outlook = Outlook(ctx, fleet, ctx.now)
-    private val rental = RentalLoop(ctx, store, book, fleet, placer, outlook, ctx.now)
+    private val rental = RentalLoop(ctx, store, book, fleet, placer, outlook, ctx.now) { fleet.surelyEmptyAt(it, leadership.othersSilent) }
     private val upgrade = Upgrade(leadership, store)
     private val teller = ProgressTeller(book)
     private var loaded = false
--- a/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -32,12 +32,13 @@
     private val placer: Placer,
     private val outlook: Outlook,
     private val startedAt: Double,
+    surelyEmptyAt: (Machine) -> Double,
 ) {
     private val log = LoggerFactory.getLogger("rental")
     private val registry = ClusterStateRegistry(ctx, fleet, outlook)
     private val memory = FleetMemory(store)
     private val lastRental = HashMap<GroupKey?, Double>()
-    private val returns = Returns(ctx, store, book, fleet, registry, outlook, memory, startedAt) { lastRental[it] ?: Machine.NEVER }
+    private val returns = Returns(ctx, store, book, fleet, registry, outlook, memory, startedAt, surelyEmptyAt) { lastRental[it] ?: Machine.NEVER }
     private val cloudList = CloudList(ctx, store, fleet, memory)
 
     private class Rental(val stored: StoredRental) {
--- a/src/main/kotlin/plankwall/core/rental/Returns.kt
+++ b/src/main/kotlin/plankwall/core/rental/Returns.kt
@@ -11,6 +11,7 @@
 import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.model.Resources
+import plankwall.model.Shape
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
 import plankwall.wire.ListedState
@@ -25,6 +26,7 @@
     private val outlook: Outlook,
     private val memory: FleetMemory,
     private val startedAt: Double,
+    private val surelyEmptyAt: (Machine) -> Double,
     private val rentedAt: (GroupKey?) -> Double,
 ) {
     private val log = LoggerFactory.getLogger("rental")
@@ -56,11 +58,18 @@
         // After a cut or a take-over the last worker finds its way back many seconds after the first. One that has been
         // heard since the take-over was back already.
         val zone = m.group?.zone ?: return false
-        if (zone in outlook.cutZones) return false
+        if (zone in outlook.cutZones || !isWorthDeleting(m)) return false
         val from = if (m.registered) outlook.troubledAt(zone) else maxOf(startedAt, outlook.troubledAt(zone))
         return ctx.now - from > ctx.settings.workers.reportS * WAY_BACK_REPORTS
     }
 
+    /**
+     * It may as well hang, and come back with its images: a boot and a fetch are lost with it then. For a replica every second
+     * counts, and where the lease would prove nothing for longer than a lease, for everything; other work waits for the lease.
+     */
+    private fun isWorthDeleting(m: Machine): Boolean =
+        m.placements.values.any { it.job.spec.shape == Shape.SERVICE && !it.job.withdrawn } || surelyEmptyAt(m) > ctx.now + ctx.surelyOverS
+
     /** A withdrawn task must be gone in time; a machine that can't be told is deleted with all that is on it. */
     private fun withdrawnTooLong(m: Machine): Boolean = !fleet.isReady(m) && m.placements.values.any {
         it.job.withdrawn && ctx.time.wallMs - it.job.withdrawnMs > ctx.settings.workers.cancelS * 1000 * WITHDRAWN_PATIENCE
--- a/src/test/kotlin/plankwall/OutlookDaysTest.kt
+++ b/src/test/kotlin/plankwall/OutlookDaysTest.kt
@@ -74,4 +74,21 @@
         assertEquals(7, world.cloud.rentals)
         assertEquals(emptyList<String>(), world.checker.broken)
     }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // name, shape of the work on the machine, whether it is deleted before its lease would prove anything
+        "'every second counts for a replica', SERVICE, true",
+        "'an array waits for the lease, and the machine may come back', ARRAY, false",
+    )
+    fun `a machine silent alone is deleted for the sake of replicas only`(name: String, shape: Shape, deleted: Boolean) {
+        world.clock.after(2.0) { world.submit(World.job(1, shape, tasks = 24, runS = 500.0)) }
+        world.clock.runUntil(45.0)
+        val silent = world.cloud.workers.first().also { it.die() }.id
+        world.clock.runUntil(45.0 + 13.0)
+        assertEquals(deleted, silent !in rented(), name)
+        world.clock.runUntil(100.0)
+        assertEquals(28, world.checker.starts, name)
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
 }
