Test: what can't be stored is not decided

A leader cut off with its zone logged rentals and returns for half a minute after another had won. The loop has asked for a valid lease since; this holds it, with and without one.

--- /dev/null
+++ b/src/test/kotlin/plankwall/RentalLoopTest.kt
@@ -0,0 +1,46 @@
+package plankwall
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import plankwall.core.lead.LeaderStore
+import plankwall.core.outlook.Outlook
+import plankwall.core.placing.Placer
+import plankwall.core.rental.RentalLoop
+import plankwall.core.step.Effect
+import plankwall.sim.CoreParts
+import plankwall.wire.ListedState
+import plankwall.wire.StateOp
+import plankwall.wire.StateResult
+
+class RentalLoopTest {
+    private val core = CoreParts()
+    private val ctx = core.ctx
+
+    private fun win() {
+        core.leadership.tick()
+        repeat(3) {
+            val call = ctx.out.take().filterIsInstance<Effect.StateCall>().single()
+            ctx.out.resume(
+                call.call,
+                when (call.op) {
+                    is StateOp.Get -> StateResult.Item(null)
+                    is StateOp.Grant -> StateResult.Granted(7)
+                    else -> StateResult.Committed(41)
+                },
+            )
+        }
+    }
+
+    /** A leader cut off with its zone logged rentals and returns for half a minute after another had won. */
+    @ParameterizedTest(name = "{0} s after its lease was renewed: returned {1}")
+    @CsvSource("0, true", "60, false")
+    fun `what can't be stored is not decided`(afterS: Double, returned: Boolean) {
+        win()
+        val loop = RentalLoop(ctx, LeaderStore(ctx, core.leadership), core.book, core.fleet, Placer(ctx, core.book, core.fleet), Outlook(ctx, core.fleet, 0.0), 0.0) { 0.0 }
+        val failed = core.machine("i-000001").apply { listed = ListedState.FAILED }
+        ctx.time.advance(ctx.now + afterS, 0)
+        loop.tick()
+        assertEquals(returned, failed.returning)
+    }
+}
