--- /dev/null
+++ b/src/main/kotlin/plankwall/cli/LabCommand.kt
@@ -0,0 +1,55 @@
+package plankwall.cli
+
+import org.HdrHistogram.Histogram
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import plankwall.lab.LinkDay
+import java.util.concurrent.Callable
+import java.util.stream.IntStream
+
+/** Experiments in virtual time, with the cores as they are and stand-ins for all the rest. */
+@Command(name = "lab", description = ["Plays days in virtual time against stand-ins; needs no site."], subcommands = [LinkDays::class])
+class LabCommand
+
+@Command(name = "links", description = ["Days on which links fail in part, drawn by their number; exits 1 if a rule broke."])
+class LinkDays : Callable<Int> {
+    @Option(names = ["--days"], description = ["How many."])
+    private var days = 30
+
+    @Option(names = ["--first"], description = ["The first day's number."])
+    private var first = 1
+
+    @Option(names = ["--nodes"], split = ",", description = ["Numbers of nodes, one after the other."])
+    private var nodes = listOf(3, 5, 7)
+
+    @Option(names = ["--machines"], description = ["About how many machines."])
+    private var machines = 300
+
+    @Option(names = ["--each"], description = ["Say what each day did."])
+    private var each = false
+
+    override fun call(): Int {
+        val results = IntStream.range(first, first + days).parallel()
+            .mapToObj { LinkDay(it.toLong(), nodes[it % nodes.size], machines).play() }.toList()
+        if (each) results.forEach { r -> println("day ${r.seed}, ${r.nodes} nodes: killed ${r.leaseDeaths} (${r.avoidable}), leads ${r.leads}; ${r.troubles}") }
+        results.forEach { r -> r.broken.forEach { println("day ${r.seed}: $it") } }
+        println("nodes   days  broken  killed by lease  of these avoidable  leads a day  served after p50  p90  p99  max (s)")
+        for ((n, group) in results.groupBy { it.nodes }.toSortedMap()) {
+            val served = Histogram(HIGHEST_MS, 3)
+            group.forEach { served.add(it.servedMs) }
+            println(
+                "%5d %6d %7d %16d %19d %12.1f %17.1f %4.1f %4.1f %4.1f".format(
+                    n, group.size, group.sumOf { it.broken.size }, group.sumOf { it.leaseDeaths }, group.sumOf { it.avoidable },
+                    group.map { it.leads }.average(), served.s(50.0), served.s(90.0), served.s(99.0), served.s(100.0),
+                ),
+            )
+        }
+        return if (results.any { it.broken.isNotEmpty() }) 1 else 0
+    }
+
+    private fun Histogram.s(percentile: Double) = getValueAtPercentile(percentile) / 1000.0
+
+    private companion object {
+        const val HIGHEST_MS = 600_000L
+    }
+}
--- a/src/main/kotlin/plankwall/core/Controller.kt
+++ b/src/main/kotlin/plankwall/core/Controller.kt
@@ -5,6 +5,8 @@
 import plankwall.core.front.Market
 import plankwall.core.front.ProgressBoard
 import plankwall.core.lead.Leadership
+import plankwall.core.links.LinkPicture
+import plankwall.core.relay.WorkerRelay
 import plankwall.core.step.Context
 import plankwall.core.step.Effect
 import plankwall.core.step.Gate
@@ -18,6 +20,9 @@
 import plankwall.wire.JobProgress
 import plankwall.wire.PeerStatus
 import plankwall.wire.ProgressNews
+import plankwall.wire.RelayedAnswer
+import plankwall.wire.RelayedReport
+import plankwall.wire.Report
 import plankwall.wire.WorkerCodec
 import java.util.Random
 
@@ -34,12 +39,12 @@
 ) {
     private val ctx = Context(settings, tuning, incarnation, Random(seed))
     private var reign: Reign? = null
-    private val leadership: Leadership = Leadership(ctx, ::begin, ::end)
+    private val leadership: Leadership = Leadership(ctx, ::begin, ::end) { relay.turnUps }
+    private val relay = WorkerRelay(ctx, leadership.picture, leadership.routing)
     private val market = Market(ctx)
     private val board = ProgressBoard()
     private val gate = gate?.invoke(ctx)
     private val front = FrontDesk(ctx, leadership, market, ::progressOf, board::forget, keepFacts = gate != null)
-    private val strays = HashMap<String, Double>()
     private var nextStatus = 0.0
     private val log = LoggerFactory.getLogger("workers")
 
@@ -61,6 +66,8 @@
             is Input.PeerHeard -> when (val message = input.message) {
                 is PeerStatus -> leadership.notePeer(message)
                 is ProgressNews -> board.hear(message, front::isLive)
+                is RelayedReport -> relayed(message)
+                is RelayedAnswer -> relay.answered(message)
             }
         }
         return ctx.out.take()
@@ -85,6 +92,7 @@
     private fun progressOf(id: String): JobProgress? = reign?.progressOf(id) ?: board[id]
 
     private fun begin() {
+        relay.leads()
         reign = Reign(ctx, leadership, market).also { it.begin() }
     }
 
@@ -100,43 +108,56 @@
         reign?.tick()
         front.tick()
         gate?.tick(if (leadership.leading) reign?.power else null)
+        relay.tick()
         if (ctx.now >= nextStatus) {
             nextStatus = ctx.now + 1.0
-            strays.values.removeIf { ctx.now - it > 5.0 }
-            ctx.out.add(Effect.PeerSend(leadership.status(strays.size)))
+            val links = leadership.links(relay.turnUps).copy(zones = reign?.zones().orEmpty())
+            ctx.out.add(Effect.PeerSend(leadership.status(relay.strays, links)))
             reign?.news()?.forEach { ctx.out.add(Effect.PeerSend(it)) }
         }
     }
 
     /** Healthy while requests can be taken. In an outage of the store for all, refusing at once beats being cut off. */
     private fun up(input: Input.Up) {
-        val alone = !leadership.stateReachable && leadership.livePeers().any { it.stateReachable }
+        val alone = !leadership.picture.storeReachable && leadership.picture.live().any { it.stateReachable }
         if (market.catalog != null && !alone) ctx.out.answer(input.request, 200, JobCodec.error("none"))
         else ctx.out.answer(input.request, 503, JobCodec.error("not ready"), 1)
     }
 
     private fun checkIn(input: Input.CheckIn) {
-        val report = input.report
-        val refused = gate?.workerRefused(input.from, report.address, reign?.listedAddress(report.machine))
-        if (refused != null) {
-            log.warn("report of {} from {} refused: {}", report.machine, input.from, refused)
-            ctx.out.answer(input.request, 403, JobCodec.error(refused))
-            return
-        }
-        reign?.isForeign(report)
+        val refused = refused(input.from, input.report)
+        if (refused != null) return ctx.out.answer(input.request, 403, JobCodec.error(refused))
+        reign?.isForeign(input.report)
+        val answer = answer(input.report, straight = true)
+        if (answer == null) relay.checkIn(input)
+        else ctx.out.answer(input.request, answer.status, answer.body, answer.retryAfterS)
+    }
+
+    /** A report that another node passes on since its worker can't come here. */
+    private fun relayed(message: RelayedReport) {
+        // Held back on the way: its worker has given up, and a newer report may be anywhere by now.
+        if (leadership.picture.ageOf(message.echo) > LinkPicture.FRESH_S) return
+        val refused = refused(message.address, message.report)
+        reign?.isForeign(message.report)
+        val answer = if (refused != null) WorkerAnswer(403, JobCodec.error(refused)) else answer(message.report, straight = false)
+        val told = answer ?: WorkerAnswer(503, JobCodec.error("does not lead"))
+        ctx.out.add(Effect.PeerSend(RelayedAnswer(ctx.settings.node, message.id, told.status, told.body), message.from))
+    }
+
+    private fun refused(from: String, report: Report): String? =
+        gate?.workerRefused(from, report.address, reign?.listedAddress(report.machine))
+            ?.also { log.warn("report of {} from {} refused: {}", report.machine, from, it) }
+
+    private class WorkerAnswer(val status: Int, val body: ByteArray, val retryAfterS: Int? = null)
+
+    /** The leader's answer; null where this node may not give one. */
+    private fun answer(report: Report, straight: Boolean): WorkerAnswer? {
         val current = reign
-        if (current == null || !leadership.mayAnswer) {
-            strays[report.machine] = ctx.now
-            val leader = leadership.leaderNode
-            if (leader == null || leader == ctx.settings.node) {
-                ctx.out.answer(input.request, 503, JobCodec.error("no leader is known"), 1)
-            } else {
-                ctx.out.answer(input.request, 421, WorkerCodec.reportTo(leader))
-            }
-            return
+        if (current == null || !leadership.mayAnswer) return null
+        return when (val word = current.checkIn(report, straight)) {
+            is Reign.Word.Orders -> WorkerAnswer(200, WorkerCodec.answer(current.tokenFor(report.machine), word.orders))
+            Reign.Word.ComeHere -> WorkerAnswer(421, WorkerCodec.reportTo(ctx.settings.node))
+            Reign.Word.Refused -> WorkerAnswer(503, JobCodec.error("an old report"), 1)
         }
-        val orders = current.checkIn(report)
-        if (orders == null) ctx.out.answer(input.request, 503, JobCodec.error("an old report"), 1)
-        else ctx.out.answer(input.request, 200, WorkerCodec.answer(current.tokenFor(report.machine), orders))
     }
 }
--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -12,6 +12,8 @@
 import plankwall.core.lead.Upgrade
 import plankwall.core.outlook.Outlook
 import plankwall.core.placing.Placer
+import plankwall.core.relay.DirectReach
+import plankwall.core.relay.HandOver
 import plankwall.core.rental.RentalLoop
 import plankwall.core.step.Context
 import plankwall.core.step.Effect
@@ -27,6 +29,7 @@
 import plankwall.wire.StateItem
 import plankwall.wire.StateResult
 import plankwall.wire.WorkerCodec
+import plankwall.wire.ZoneReach
 
 /**
  * All that a node knows and does while it leads, from winning to yielding. A new one begins with nothing and reads
@@ -43,6 +46,8 @@
     private val rental = RentalLoop(ctx, store, book, fleet, placer, outlook, ctx.now) { fleet.surelyEmptyAt(it, leadership.othersSilent) }
     private val upgrade = Upgrade(leadership, store)
     private val teller = ProgressTeller(book)
+    private val reach = DirectReach(ctx, fleet, outlook)
+    private val handOver = HandOver(ctx, leadership, fleet, outlook, reach)
     private var loaded = false
     private var savingCatalog = false
 
@@ -110,35 +115,32 @@
         rental.tick()
         sendUrgent()
         announce()
-        handOverIfCutOff()
+        probe()
+        reach.tick()
+        handOver.tick()
     }
 
-    /**
-     * Most workers have missed a report here and turn up at peers instead: whoever they can reach should lead, and soon,
-     * for their leases are running out. Where no peer is heard that could tell of it, all must be silent: a leader whose
-     * peers and most of whose machines are in another zone, which is cut off, has to go on with the rest. Machines that a
-     * new leader knows of and has never heard count too: one that can't be reached from the start must not keep the lead.
-     */
-    private fun handOverIfCutOff() {
-        val known = fleet.machines.filter { (it.registered && !it.returning) || outlook.isAwaited(it) }
-        if (known.size < 2 || ctx.now < leadership.wonAt + HAND_OVER_AFTER_S || !leadership.mayWrite) return
-        val missed = ctx.settings.workers.reportS * MISSED_REPORTS + 1.0
-        val silent = known.count { ctx.now - it.lastHeard > missed }
-        if (silent * 2 <= known.size) return
-        val peers = leadership.livePeers()
-        val strays = peers.filter { it.stateReachable }.sumOf { it.strayWorkers }
-        val alone = peers.isEmpty() && ctx.settings.peers.isNotEmpty() && silent == known.size && known.count { it.registered } >= 2
-        if (!alone && strays * 2 <= known.size) return
-        val elsewhere = if (alone) "no peer is heard" else "$strays turn up at peers"
-        leadership.yield("$silent of ${known.size} machines silent here, $elsewhere", dropLease = true)
-    }
-
-    /** The orders for a check-in, or null if it must be refused. */
-    fun checkIn(r: Report): List<Order>? {
-        if (fleet.isGone(r.machine)) return null
-        if (loaded) return desk.checkIn(r)
-        // Until the book is read nothing can be judged, but the worker's lease can be kept.
+    /** What becomes of a check-in. */
+    sealed interface Word {
+        class Orders(val orders: List<Order>) : Word
+
+        /** Came through another node, and can come straight. */
+        data object ComeHere : Word
+
+        data object Refused : Word
+    }
+
+    /** [straight]: whether the report came to this node itself rather than through another. */
+    fun checkIn(r: Report, straight: Boolean): Word {
+        if (fleet.isGone(r.machine)) return Word.Refused
         val m = fleet.machine(r.machine)
+        if (straight) reach.cameStraight(m) else if (reach.cameThrough(m)) return Word.ComeHere
+        val orders = if (loaded) desk.checkIn(r) else keepLease(m, r)
+        return if (orders == null) Word.Refused else Word.Orders(orders)
+    }
+
+    private fun keepLease(m: Machine, r: Report): List<Order> {
+        // Until the book is read nothing can be judged, but the worker's lease can be kept.
         fleet.describe(m, r)
         m.lastAnswered = ctx.now
         return emptyList()
@@ -148,6 +150,7 @@
         if (isForeign(r)) return
         if (store.active && loaded) desk.overheard(r)
         val m = fleet.find(r.machine) ?: return
+        reach.reached(m)
         // A refusal names the session to use; the next try follows at once.
         if (!m.confirmed && r.token < leadership.epoch && r.session > m.announceSession) {
             m.announceSession = r.session
@@ -158,9 +161,13 @@
     /** The token for [machine]: never lower than what it was shown. */
     fun tokenFor(machine: String): Long = maxOf(store.epoch, fleet.find(machine)?.token ?: 0L)
 
-    /** A worker that has seen a token beyond ours has a newer leader: we are no longer the one. */
+    /**
+     * A worker that has seen a token beyond ours has a newer leader: we are no longer the one. Up to our newest write all are
+     * ours: a later leader's key is written after it. That counts for machines that are forgotten already, whose last report
+     * was held back by a cut and comes when it heals: one of those made a sound leader give up.
+     */
     fun isForeign(r: Report): Boolean {
-        if (r.token <= tokenFor(r.machine)) return false
+        if (r.token <= maxOf(tokenFor(r.machine), store.lastRevision)) return false
         leadership.yield("machine ${r.machine} shows token ${r.token}")
         return true
     }
@@ -168,12 +175,20 @@
     private fun sendUrgent() {
         if (!leadership.mayWrite) return
         for (m in fleet.machines) {
+            if (reach.onlyThroughOthers(m)) continue
             val orders = desk.urgent(m) ?: continue
             m.token = maxOf(m.token, store.lastRevision)
             ctx.out.add(Effect.WorkerPost(m.id, m.address, WorkerCodec.commands(tokenFor(m.id), m.session, orders)))
         }
     }
 
+    /** Machines whose reports come through others are tried with a command that orders nothing. */
+    private fun probe() = reach.toProbe().forEach { m ->
+        ctx.out.add(Effect.WorkerPost(m.id, m.address, WorkerCodec.commands(tokenFor(m.id), m.session, emptyList())))
+    }
+
+    fun zones(): List<ZoneReach> = reach.zones()
+
     /** Shows machines the new token directly, so that they drop the answers of an older leader that goes on. */
     private fun announce() {
         if (ctx.now > leadership.wonAt + ctx.outageGraceS + ctx.surelyOverS) return
@@ -223,10 +238,6 @@
     fun end() = store.close()
 
     private companion object {
-        const val HAND_OVER_AFTER_S = 20.0
-
-        /** Reports come up to a quarter late. */
-        const val MISSED_REPORTS = 1.5
         const val WATCH_MS = 8_000L
         const val MAX_ANNOUNCED = 6
         const val ANNOUNCE_S = 2.0
--- a/src/main/kotlin/plankwall/core/front/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/front/FrontDesk.kt
@@ -71,7 +71,7 @@
             visit.tooMany()
             return null
         }
-        if (!leadership.stateReachable) {
+        if (!leadership.picture.storeReachable) {
             visit.later("the state service can't be reached")
             return null
         }
--- a/src/main/kotlin/plankwall/core/lead/Leadership.kt
+++ b/src/main/kotlin/plankwall/core/lead/Leadership.kt
@@ -1,10 +1,16 @@
 package plankwall.core.lead
 
 import org.slf4j.LoggerFactory
+import plankwall.core.links.Claim
+import plankwall.core.links.LinkPicture
+import plankwall.core.links.Routing
+import plankwall.core.links.Succession
 import plankwall.core.step.Context
+import plankwall.core.step.Effect
 import plankwall.wire.Guard
 import plankwall.wire.Keys
 import plankwall.wire.LeaderRecord
+import plankwall.wire.LinkReport
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
 import plankwall.wire.StateItem
@@ -17,12 +23,18 @@
  * wrote the key is the epoch. It is the token for the workers and the guard of every write, so whatever an old leader
  * still has under way fails by itself.
  */
-class Leadership(private val ctx: Context, private val onWon: () -> Unit, private val onLost: () -> Unit) {
+class Leadership(private val ctx: Context, private val onWon: () -> Unit, private val onLost: () -> Unit, turnUps: () -> Int = { 0 }) {
     private val log = LoggerFactory.getLogger("leadership")
 
+    private val ttlS: Double =
+        if (ctx.tuning.leaderLeaseS > 0) ctx.tuning.leaderLeaseS else (ctx.settings.workers.leaseS / 6).coerceIn(1.5, 2.5)
+
+    val picture = LinkPicture(ctx)
+    val routing = Routing(ctx, picture, ttlS)
+    val succession = Succession(ctx, picture, turnUps)
+
     /** The highest epoch heard of from anybody. */
-    var epochSeen = 0L
-        private set
+    val epochSeen: Long get() = routing.epochSeen
 
     /** This node's epoch while it leads, else 0. */
     var epoch = 0L
@@ -32,25 +44,19 @@
     var wonAt = 0.0
         private set
 
-    /** The node that the store last named as the leader. */
-    var leaderNode: String? = null
-        private set
-
     private var lease = 0L
     private var validUntil = 0.0
     private var nextPoll = 0.0
     private var polling = false
     private var acquiring = false
-    private var failures = 0
     private val confirmedPeers = HashSet<String>()
-    private val peers = HashMap<String, Pair<PeerStatus, Double>>()
+
+    /** Whom this node would have lead; told to all until somebody does. */
+    private var successor: String? = null
 
     /** The moment from which no older leader can have answered a worker; unknown until the peers confirm it. */
     private var othersSilentFrom: Double? = null
 
-    private val ttlS: Double =
-        if (ctx.tuning.leaderLeaseS > 0) ctx.tuning.leaderLeaseS else (ctx.settings.workers.leaseS / 6).coerceIn(1.5, 2.5)
-
     val leading: Boolean get() = epoch != 0L
 
     /** May store: the lease is surely still ours. */
@@ -60,24 +66,20 @@
     val mayAnswer: Boolean get() = leading && ctx.now < validUntil + ctx.outageGraceS
 
     /** Every other node has shown that it runs this version or a later one. */
-    val allCurrent: Boolean get() = ctx.settings.peers.all { (peers[it.node]?.first?.level ?: 0) >= PeerCodec.LEVEL }
+    val allCurrent: Boolean get() = ctx.settings.peers.all { (picture.word(it.node)?.level ?: 0) >= PeerCodec.LEVEL }
 
     /** A node of an older version is about: it will be replaced soon, so it had better not take the lead. */
-    private val olderAbout: Boolean get() = livePeers().any { it.level < PeerCodec.LEVEL }
-
-    val stateReachable: Boolean get() = failures < 2
+    private val olderAbout: Boolean get() = picture.live().any { it.level < PeerCodec.LEVEL }
 
     /** No leader before us can have renewed a worker's lease after this moment. */
     val othersSilent: Double get() = othersSilentFrom ?: (wonAt + ctx.outageGraceS)
 
     fun guard(): Guard = Guard(Keys.LEADER, epoch)
 
-    /** Peers heard within the last few seconds, this node not counted. */
-    fun livePeers(): List<PeerStatus> = peers.values.filter { ctx.now - it.second < 4.0 }.map { it.first }
-
     fun tick() {
         if (polling || acquiring || ctx.now < nextPoll) return
         polling = true
+        picture.storeAsked()
         if (leading) renew() else poll()
     }
 
@@ -86,7 +88,7 @@
         val renewed = lease
         ctx.out.state(StateOp.Renew(renewed)) { result ->
             polling = false
-            noteHealth(result)
+            picture.storeAnswered(result)
             if (!leading || lease != renewed) return@state
             nextPoll = ctx.now + if (result == StateResult.Renewed) ttlS / 4 else 0.3
             when (result) {
@@ -98,25 +100,24 @@
     }
 
     private fun poll() {
+        val askedAt = ctx.now
         ctx.out.state(StateOp.Get(Keys.LEADER)) { result ->
             polling = false
-            noteHealth(result)
+            picture.storeAnswered(result)
             nextPoll = ctx.now + if (olderAbout) EAGER_S else 0.35 + ctx.random.nextDouble() * 0.3
-            if (result is StateResult.Item) noteLeader(result.item)
+            if (result is StateResult.Item) noteLeader(result.item, askedAt)
         }
     }
 
-    private fun noteLeader(item: StateItem?) {
+    private fun noteLeader(item: StateItem?, askedAt: Double) {
         val record = item?.value as? LeaderRecord
-        if (item == null || record == null) {
-            leaderNode = null
-            if (!leading && !acquiring) acquire()
-            return
+        routing.read(record?.node, item?.version ?: 0L, askedAt)
+        if (item != null && record != null) {
+            succession.taken()
+            successor = null
+        } else if (!leading && !acquiring && succession.mayStand()) {
+            acquire()
         }
-        epochSeen = maxOf(epochSeen, item.version)
-        leaderNode = record.node
-        // A key of an earlier process on this node: nobody renews it, it ends by itself.
-        if (record.node == ctx.settings.node && !leading) leaderNode = null
     }
 
     private fun acquire() {
@@ -133,10 +134,10 @@
                 if (result is StateResult.Committed && ctx.now < sentAt + ttlS) {
                     lease = granted.lease
                     epoch = result.revision
-                    epochSeen = maxOf(epochSeen, epoch)
+                    routing.hearOf(epoch)
+                    successor = null
                     validUntil = sentAt + ttlS
                     wonAt = ctx.now
-                    leaderNode = ctx.settings.node
                     othersSilentFrom = null
                     confirmedPeers.clear()
                     nextPoll = ctx.now + ttlS / 4
@@ -150,18 +151,14 @@
         }
     }
 
-    private fun noteHealth(result: StateResult) {
-        if (result == StateResult.Refused || result == StateResult.Unknown) failures++ else failures = 0
-    }
-
     /** A token or epoch heard from a worker, a peer or the store. A higher one than ours ends our leadership. */
     fun noteEpoch(heard: Long, from: String) {
-        if (heard > epochSeen) epochSeen = heard
+        routing.hearOf(heard)
         if (leading && heard > epoch) yield("epoch $heard heard from $from")
     }
 
+    /** Epochs prove the same however late the word of them comes; what else [status] says is believed only while it is the newest. */
     fun notePeer(status: PeerStatus) {
-        peers[status.node] = status to ctx.now
         noteEpoch(status.epochSeen, "peer ${status.node}")
         if (leading && othersSilentFrom == null && status.epochSeen >= epoch && !status.leading) {
             confirmedPeers.add(status.node)
@@ -170,6 +167,8 @@
                 log.info("epoch {}: every peer follows, older leaders are silent", epoch)
             }
         }
+        // The one that is named asks for the lead at once, instead of when its turn comes.
+        if (picture.hear(status) && succession.hear(status) && !leading) nextPoll = minOf(nextPoll, ctx.now)
     }
 
     /** Steps down. [dropLease] lets the next leader start at once. */
@@ -178,14 +177,28 @@
         log.info("yielding epoch {}: {}", epoch, why)
         resignedEpoch = epoch
         epoch = 0
-        leaderNode = null
         nextPoll = ctx.now + if (dropLease) ttlS else 0.2
         if (dropLease) ctx.out.state(StateOp.Drop(lease)) {}
         onLost()
     }
 
-    fun status(strayWorkers: Int) = PeerStatus(
-        ctx.settings.node, ctx.incarnation, epochSeen, leading, resignedEpoch, stateReachable, strayWorkers, PeerCodec.LEVEL,
+    /** Steps down for the sake of workers that can't come here, and names who is reached by most of them. */
+    fun yieldForWorkers(why: String) {
+        successor = succession.best()
+        succession.lostWorkers()
+        yield("$why; next had better be ${successor ?: "anybody else"}", dropLease = true)
+        // Told before the key is found free, or the first to look would take it.
+        ctx.out.add(Effect.PeerSend(status(0, links(0))))
+    }
+
+    /** What this node tells its peers of its links, as far as it does not concern machines. */
+    fun links(turnUps: Int): LinkReport {
+        val own = if (leading) Claim(ctx.settings.node, epoch, ctx.now) else routing.own()
+        return picture.report(turnUps, own, successor)
+    }
+
+    fun status(strayWorkers: Int, links: LinkReport) = PeerStatus(
+        ctx.settings.node, ctx.incarnation, epochSeen, leading, resignedEpoch, picture.storeReachable, strayWorkers, PeerCodec.LEVEL, links,
     )
 
     private companion object {
--- /dev/null
+++ b/src/main/kotlin/plankwall/core/links/Routing.kt
@@ -0,0 +1,64 @@
+package plankwall.core.links
+
+import plankwall.core.step.Context
+import plankwall.wire.LeaderWord
+import plankwall.wire.PeerStatus
+
+/** That [node] led as [epoch] at [at] or later, in seconds of our clock. */
+data class Claim(val node: String, val epoch: Long, val at: Double) {
+    fun word(now: Double) = LeaderWord(node, epoch, ((now - at) * 1000).toInt().coerceAtLeast(0))
+}
+
+/**
+ * Who leads, by the freshest proof: the store's record, a leader's own frame, or what a peer knows by one of the two. The
+ * highest epoch counts. A node that knows of a higher epoch than any claim names nobody: so wherever a worker is sent, the
+ * epochs only rise, and it can't go in circles.
+ */
+class Routing(private val ctx: Context, private val picture: LinkPicture, private val leaseS: Double) {
+    private var stored: Claim? = null
+
+    /** The highest epoch heard of from anybody. */
+    var epochSeen = 0L
+        private set
+
+    fun hearOf(epoch: Long) {
+        epochSeen = maxOf(epochSeen, epoch)
+    }
+
+    /** What a read of the leader's key showed that began at [askedAt]; null: nobody holds it. */
+    fun read(node: String?, epoch: Long, askedAt: Double) {
+        stored = node?.let { Claim(it, epoch, askedAt) }
+        hearOf(epoch)
+    }
+
+    /** Proof that this node has itself, as its peers may be told. */
+    fun own(): Claim? = (picture.fresh().filter { it.leading }.map { Claim(it.node, it.epochSeen, picture.provenAt(it.node)) } + listOfNotNull(freshStored()))
+        .filter { isInOffice(it) }.maxByOrNull { it.epoch }
+
+    /** The leader in office, or null if that is not known; never this node. */
+    fun leader(): Claim? {
+        val best = (listOfNotNull(own()) + picture.fresh().mapNotNull(::told)).maxByOrNull { it.epoch } ?: return null
+        return best.takeIf { it.node != ctx.settings.node && isInOffice(it) }
+    }
+
+    /**
+     * A record read long ago is believed only by a node that hears nobody: where peers are heard, one of them would know.
+     * A leader that lost the store goes on answering for the outage grace, so that long its record may still hold.
+     */
+    private fun freshStored(): Claim? = stored?.takeIf {
+        ctx.now - it.at < if (picture.live().isEmpty()) ctx.outageGraceS else leaseS + LinkPicture.FRESH_S
+    }
+
+    private fun told(peer: PeerStatus): Claim? {
+        val word = peer.links?.leader ?: return null
+        val at = picture.provenAt(peer.node) - word.ageMs / 1000.0
+        return Claim(word.node, word.epoch, at).takeIf { ctx.now - at < leaseS + LinkPicture.FRESH_S * 2 }
+    }
+
+    private fun isInOffice(claim: Claim): Boolean {
+        if (claim.epoch < epochSeen) return false
+        val word = picture.word(claim.node) ?: return true
+        // Exact, however late the word comes: an epoch that was resigned is over, and whoever knows of it without leading does not lead.
+        return word.resignedEpoch < claim.epoch && (word.leading || word.epochSeen < claim.epoch)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/plankwall/core/relay/DirectReach.kt
@@ -0,0 +1,133 @@
+package plankwall.core.relay
+
+import org.slf4j.LoggerFactory
+import plankwall.core.jobs.Fleet
+import plankwall.core.jobs.Machine
+import plankwall.core.outlook.Outlook
+import plankwall.core.step.Context
+import plankwall.wire.ZoneReach
+
+/**
+ * Which machines can reach the leader itself, and when those that come through other nodes are called back. A worker that
+ * tries in vain loses several seconds of its lease and lands anywhere, so none is called on suspicion: the leader first
+ * reaches the machine itself, which takes packets both ways.
+ */
+class DirectReach(private val ctx: Context, private val fleet: Fleet, private val outlook: Outlook) {
+    private class Reach {
+        var directAt = Machine.NEVER
+        var relayedAt = Machine.NEVER
+        var reachedAt = Machine.NEVER
+        var calledAt = Machine.NEVER
+        var probedAt = Machine.NEVER
+        var notBefore = Machine.NEVER
+        var pauseS = 0.0
+    }
+
+    private val log = LoggerFactory.getLogger("relay")
+    private val byMachine = HashMap<Int, Reach>()
+    private val lastStraight = HashMap<String, Double>()
+    private val times = ctx.settings.workers
+    private var lastReached = Machine.NEVER
+    private var probes = 0.0
+    private var probesAt = ctx.now
+    private var through = 0
+    private var lineAt = Machine.NEVER
+
+    private fun of(m: Machine): Reach = byMachine.getOrPut(m.ix.value) { Reach() }
+
+    fun cameStraight(m: Machine) {
+        val reach = of(m)
+        reach.directAt = ctx.now
+        m.group?.let { lastStraight[it.zone] = ctx.now }
+        if (reach.pauseS > 0 && ctx.now - reach.relayedAt > times.leaseS * 2) reach.pauseS = 0.0
+    }
+
+    /** A report through another node. True if the worker had better come itself: the report is not taken then. */
+    fun cameThrough(m: Machine): Boolean {
+        val reach = of(m)
+        // Called before, and not here since: the way that the leader found open is closed to the worker.
+        if (reach.calledAt > reach.directAt && reach.calledAt > reach.reachedAt) {
+            reach.pauseS = (reach.pauseS * 2).coerceIn(times.leaseS, times.leaseS * MAX_PAUSE_LEASES)
+            reach.notBefore = ctx.now + reach.pauseS
+            reach.calledAt = Machine.NEVER
+        }
+        val open = ctx.now - reach.reachedAt < times.reportS * LONGEST_REPORT && ctx.now >= reach.notBefore
+        if (!open) {
+            reach.relayedAt = ctx.now
+            return false
+        }
+        reach.calledAt = ctx.now
+        reach.reachedAt = Machine.NEVER
+        log.debug("machine {} is called back: it can be reached", m.id)
+        return true
+    }
+
+    /** The machine answered a direct command: the way is open in both directions. */
+    fun reached(m: Machine) {
+        of(m).reachedAt = ctx.now
+        lastReached = ctx.now
+    }
+
+    /**
+     * Out of reach for direct commands, which would go nowhere and take the place of others: its reports come through other
+     * nodes, and either nobody of its zone comes straight or it was called in vain.
+     */
+    fun onlyThroughOthers(m: Machine): Boolean {
+        val reach = byMachine[m.ix.value] ?: return false
+        if (reach.relayedAt <= maxOf(reach.directAt, reach.reachedAt)) return false
+        return ctx.now < reach.notBefore || ctx.now - (lastStraight[m.group?.zone] ?: Machine.NEVER) > times.reportS * LONGEST_REPORT
+    }
+
+    /** Machines to be tried now: a few while nothing gets through, many once something does. */
+    fun toProbe(): List<Machine> {
+        val rate = if (ctx.now - lastReached < times.reportS) PROBES_OPEN else PROBES_SHUT
+        probes = minOf(rate, probes + (ctx.now - probesAt) * rate)
+        probesAt = ctx.now
+        if (probes < 1) return emptyList()
+        val due = fleet.machines.filter { m ->
+            val r = byMachine[m.ix.value]
+            r != null && m.address.isNotEmpty() && !m.deleting && isThrough(r) && ctx.now >= r.notBefore && ctx.now - r.reachedAt > times.reportS &&
+                ctx.now - r.probedAt > times.reportS * 2
+        }
+        return due.sortedBy { of(it).probedAt }.take(probes.toInt()).onEach {
+            of(it).probedAt = ctx.now
+            probes -= 1.0
+        }
+    }
+
+    private fun isThrough(r: Reach): Boolean = r.relayedAt > r.directAt && ctx.now - r.relayedAt < times.reportS * 2
+
+    /** For the peers, by zone: how many machines should come here, and how many of them have not come straight. */
+    fun zones(): List<ZoneReach> {
+        val known = HashMap<String, Int>()
+        val late = HashMap<String, Int>()
+        val overdueS = times.reportS * LONGEST_REPORT + 0.5
+        for (m in fleet.machines) {
+            val zone = m.group?.zone ?: continue
+            if (m.returning || !(m.registered || (outlook.firstAreBack && outlook.isAwaited(m)))) continue
+            known.merge(zone, 1, Int::plus)
+            if (ctx.now - (byMachine[m.ix.value]?.directAt ?: Machine.NEVER) > overdueS) late.merge(zone, 1, Int::plus)
+        }
+        return known.map { (zone, n) -> ZoneReach(zone, n, late[zone] ?: 0) }.sortedBy { it.zone }
+    }
+
+    /** Machines that were heard through others within two report intervals. */
+    val throughOthers: Int get() = byMachine.values.count(::isThrough)
+
+    fun tick() {
+        if (ctx.now - lineAt < LINE_S) return
+        lineAt = ctx.now
+        if (byMachine.size > fleet.machines.size * 2) byMachine.keys.retainAll(fleet.machines.map { it.ix.value }.toSet())
+        val now = throughOthers
+        if (now > 0 || through > 0) log.info("{} machines report through other nodes, {} before; by zone {}", now, through, zones())
+        through = now
+    }
+
+    private companion object {
+        const val LONGEST_REPORT = 1.25
+        const val MAX_PAUSE_LEASES = 8.0
+        const val PROBES_SHUT = 2.0
+        const val PROBES_OPEN = 40.0
+        const val LINE_S = 5.0
+    }
+}
--- a/src/main/kotlin/plankwall/core/step/Context.kt
+++ b/src/main/kotlin/plankwall/core/step/Context.kt
@@ -31,6 +31,10 @@
     private val stateWaiting = HashMap<CallId, (StateResult) -> Unit>()
     private val cloudWaiting = HashMap<CallId, (CloudResult) -> Unit>()
 
+    /** Hears every answer before whoever asked for it: what a link does is learned from all that passes over it. */
+    var onState: (StateOp, StateResult) -> Unit = { _, _ -> }
+    var onCloud: (CloudResult) -> Unit = {}
+
     fun add(effect: Effect) {
         effects.add(effect)
     }
@@ -40,13 +44,19 @@
 
     fun state(op: StateOp, then: (StateResult) -> Unit) {
         val call = CallId(nextCall++)
-        stateWaiting[call] = then
+        stateWaiting[call] = { result ->
+            onState(op, result)
+            then(result)
+        }
         add(Effect.StateCall(call, op))
     }
 
     fun cloud(op: CloudOp, then: (CloudResult) -> Unit) {
         val call = CallId(nextCall++)
-        cloudWaiting[call] = then
+        cloudWaiting[call] = { result ->
+            onCloud(result)
+            then(result)
+        }
         add(Effect.CloudCall(call, op))
     }
 
--- a/src/main/kotlin/plankwall/core/step/Messages.kt
+++ b/src/main/kotlin/plankwall/core/step/Messages.kt
@@ -52,5 +52,6 @@
 
     class WorkerPost(val machine: String, val address: String, val body: ByteArray) : Effect
 
-    data class PeerSend(val message: PeerMessage) : Effect
+    /** [to]: the node that it is for; null for all. */
+    data class PeerSend(val message: PeerMessage, val to: String? = null) : Effect
 }
--- a/src/main/kotlin/plankwall/identity/PeerDoor.kt
+++ b/src/main/kotlin/plankwall/identity/PeerDoor.kt
@@ -3,7 +3,6 @@
 import plankwall.wire.FrameSeal
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerMessage
-import plankwall.wire.PeerStatus
 
 /** The door for links between controllers. [networks]: from where they may come, null for anywhere. */
 class PeerDoor(private val seal: PeerSeal, private val networks: () -> Networks?) : FrameSeal {
@@ -14,8 +13,9 @@
     override fun open(sealed: ByteArray, wallMs: Long): PeerMessage? {
         val opened = seal.open(sealed, wallMs) ?: return null
         val message = PeerCodec.read(opened.frame)
-        // One controller must not speak in another's name: each peer's own word counts when a leader takes over.
-        return message.takeIf { opened.sender == null || it !is PeerStatus || it.node == opened.sender }
+        // One controller must not speak in another's name: each peer's own word counts when a leader takes over, and an answer
+        // to a relayed report goes to the worker as the leader's.
+        return message.takeIf { opened.sender == null || it.speaker == null || it.speaker == opened.sender }
     }
 
     override fun admits(address: String): Boolean = networks()?.contains(address) ?: true
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -75,7 +75,7 @@
             is Effect.StateCall -> scope.launch { feed(Input.StateReply(effect.call, state.run(effect.op))) }
             is Effect.CloudCall -> scope.launch { feed(Input.CloudReply(effect.call, cloud.run(effect.op))) }
             is Effect.WorkerPost -> queue(effect)
-            is Effect.PeerSend -> peers.send(effect.message)
+            is Effect.PeerSend -> peers.send(effect.message, effect.to)
         }
     }
 
--- a/src/main/kotlin/plankwall/io/PeerLinks.kt
+++ b/src/main/kotlin/plankwall/io/PeerLinks.kt
@@ -27,7 +27,7 @@
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerMessage
 
-/** One connection to every other controller, carrying length-prefixed frames. Only the newest few frames wait to be sent. */
+/** One connection to every other controller, carrying length-prefixed frames. Only the newest frames wait to be sent. */
 class PeerLinks(
     private val scope: CoroutineScope,
     private val selector: SelectorManager,
@@ -38,16 +38,18 @@
     private val log = LoggerFactory.getLogger("peers")
     private val maxIncoming = peers.size * 4 + 4
     private var incoming = 0
-    private val outgoing = peers.map { peer ->
+    private val outgoing = peers.associate { peer ->
         val queue = Channel<ByteArray>(QUEUE, BufferOverflow.DROP_OLDEST)
         scope.launch { deliver(peer, queue) }
-        queue
+        peer.node to queue
     }
 
-    fun send(message: PeerMessage) {
+    /** [to]: the node that it is for; null for all. */
+    fun send(message: PeerMessage, to: String? = null) {
         val plain = PeerCodec.write(message)
+        if (plain.size > PeerCodec.MAX_FRAME) return log.info("a frame of {} bytes is too long and not sent", plain.size)
         val frame = seal?.seal(plain, System.currentTimeMillis()) ?: plain
-        outgoing.forEach { it.trySend(frame) }
+        if (to == null) outgoing.values.forEach { it.trySend(frame) } else outgoing[to]?.trySend(frame)
     }
 
     private suspend fun deliver(peer: Peer, queue: Channel<ByteArray>) {
@@ -123,7 +125,8 @@
     }
 
     private companion object {
-        const val QUEUE = 8
+        /** A second's relayed reports of hundreds of workers. What is dropped beyond is sent anew by its worker. */
+        const val QUEUE = 256
         const val IO_MS = 2_000L
         const val RETRY_MS = 700L
         const val SILENT_MS = 10_000L
--- /dev/null
+++ b/src/main/kotlin/plankwall/lab/LinkDay.kt
@@ -0,0 +1,101 @@
+package plankwall.lab
+
+import org.HdrHistogram.Histogram
+import org.apache.commons.rng.simple.RandomSource
+import org.slf4j.LoggerFactory
+import plankwall.model.Priority
+import plankwall.model.Shape
+
+/**
+ * A day of link troubles drawn by [seed], at a site of [nodes] nodes and some [machines] machines, nearly all of them at work on
+ * replicas of live services.
+ */
+class LinkDay(private val seed: Long, private val nodes: Int, private val machines: Int, private val troubles: List<LinkTrouble>? = null) {
+    /**
+     * [leaseDeaths]: tasks killed by their worker as its lease ran out; [avoidable]: of these, where the worker did reach a node,
+     * after its last answer and within its lease, that led or could reach one that did. [servedMs]: from the start of each trouble to
+     * the next answer that each worker took.
+     */
+    class Result(
+        val seed: Long,
+        val nodes: Int,
+        val troubles: List<LinkTrouble>,
+        val broken: List<String>,
+        val leaseDeaths: Int,
+        val avoidable: Int,
+        val leads: Int,
+        val starts: Int,
+        val servedMs: Histogram,
+        val worstGapMs: Long,
+    )
+
+    private val log = LoggerFactory.getLogger("lab")
+    private val couldServe = HashMap<String, Double>()
+    private val served = Histogram(HIGHEST_MS, 3)
+    private val lastServed = HashMap<String, Double>()
+    private var worstGapMs = 0L
+    private var avoidable = 0
+    private var leads = 0
+
+    fun play(endS: Double = 260.0): Result {
+        val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
+        val world = World(seed, nodes)
+        world.cloud.capacity = machines + machines / 5
+        val drawn = troubles ?: LinkTrouble.draw(random, nodes, endS - 30.0)
+        work(world)
+        drawn.forEach { it.schedule(world) }
+        drawn.forEach { t -> world.clock.after(t.at) { since(world, world.clock.now) } }
+        world.onServed = { worker, _ -> heard(worker.id, world.clock.now) }
+        world.onReached = { worker, node -> if (couldServe(world, worker, node)) couldServe[worker.id] = world.clock.now }
+        world.onLeaseDeath = { worker, tasks ->
+            val could = couldServe[worker.id] ?: Double.NEGATIVE_INFINITY
+            val since = maxOf(lastServed[worker.id] ?: 0.0, world.clock.now - world.settings.workers.leaseS)
+            if (could > since) {
+                avoidable += tasks
+                log.info("at {} s {} tasks of {} are killed though a node could have served it at {} s, last served at {} s", world.clock.now, tasks, worker.id, could, lastServed[worker.id])
+            }
+        }
+        var leader: World.Node? = null
+        world.clock.every(0.1) {
+            val now = world.nodes.firstOrNull { it.leading }
+            if (now != null && now !== leader) leads++
+            if (now != null) leader = now
+        }
+        world.clock.runUntil(endS)
+        return Result(seed, nodes, drawn, world.checker.broken.toList(), world.leaseDeaths, avoidable, leads, world.checker.starts, served, worstGapMs)
+    }
+
+    private fun work(world: World) {
+        val replicas = machines * TASKS_ON_MACHINE
+        for (n in 1..replicas / SERVICE) world.clock.after(1.0 + n * 0.05) {
+            world.submit(World.job(n, Shape.SERVICE, tasks = SERVICE, priority = Priority.PRODUCTION, spread = n % 2 == 0))
+        }
+        for (n in 0 until 20) world.clock.after(40.0 + 9 * n) {
+            world.submit(World.job(FIRST_JOB + n, if (n % 3 == 0) Shape.GANG else Shape.ARRAY, tasks = 4, runS = 25.0), if (n % 5 == 4) 12.0 else null)
+        }
+    }
+
+    private val waitingSince = ArrayList<Pair<Double, HashSet<String>>>()
+
+    private fun since(world: World, now: Double) {
+        waitingSince.add(now to world.cloud.workers.map { it.id }.toHashSet())
+    }
+
+    private fun heard(worker: String, now: Double) {
+        for ((at, left) in waitingSince) if (left.remove(worker)) served.recordValue(((now - at) * 1000).toLong().coerceIn(0, HIGHEST_MS - 1))
+        lastServed.put(worker, now)?.let { worstGapMs = maxOf(worstGapMs, ((now - it) * 1000).toLong()) }
+    }
+
+    private fun couldServe(world: World, worker: SimWorker, node: World.Node): Boolean =
+        world.wiring.isOpen(node.name, worker.id, worker.group.zone) &&
+            world.nodes.any { it.leading && (it === node || open(world, node.name, it.name)) }
+
+    private fun open(world: World, a: String, b: String) = world.wiring.isOpen(a, b) && world.wiring.isOpen(b, a)
+
+    private companion object {
+        const val TASKS_ON_MACHINE = 4
+        const val SERVICE = 12
+        const val FIRST_JOB = 500_000
+        const val HIGHEST_MS = 600_000L
+    }
+}
--- a/src/test/kotlin/plankwall/sim/SimClock.kt
+++ b/src/main/kotlin/plankwall/lab/SimClock.kt
@@ -1,4 +1,4 @@
-package plankwall.sim
+package plankwall.lab
 
 import java.util.PriorityQueue
 
--- a/src/test/kotlin/plankwall/sim/SimCloud.kt
+++ b/src/main/kotlin/plankwall/lab/SimCloud.kt
@@ -1,4 +1,4 @@
-package plankwall.sim
+package plankwall.lab
 
 import plankwall.model.Catalog
 import plankwall.model.GroupKey
--- a/src/test/kotlin/plankwall/sim/SimState.kt
+++ b/src/main/kotlin/plankwall/lab/SimState.kt
@@ -1,4 +1,4 @@
-package plankwall.sim
+package plankwall.lab
 
 import plankwall.model.StateLimits
 import plankwall.wire.StateCodec
@@ -174,11 +174,19 @@
         w.answer(StateResult.News(changes(w.op.prefix, w.op.after), revision))
     }
 
-    private fun changes(prefix: String, after: Long) = history.filter { it.version > after && it.key.startsWith(prefix) }
+    private fun changes(prefix: String, after: Long) = since(after).filter { it.key.startsWith(prefix) }
+
+    /** The history rises by version; a long day reads its end thousands of times. */
+    private fun since(after: Long): List<StateEvent> {
+        val at = history.binarySearchBy(after + 1) { it.version }
+        var first = if (at >= 0) at else -at - 1
+        while (first > 0 && history[first - 1].version > after) first--
+        return history.subList(first, history.size)
+    }
 
     private fun wake() {
         if (outage) return
-        watchers.filter { w -> history.any { it.version > w.op.after && it.key.startsWith(w.op.prefix) } }
+        watchers.filter { w -> since(w.op.after).any { it.key.startsWith(w.op.prefix) } }
             .toList().forEach { close(it) }
     }
 }
--- a/src/main/kotlin/plankwall/wire/PeerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/PeerCodec.kt
@@ -2,32 +2,12 @@
 
 import okio.Buffer
 
-/** What controllers tell each other. */
-sealed interface PeerMessage
-
-/** Once a second: who a node is, whom it follows, whom it could reach. */
-data class PeerStatus(
-    val node: String,
-    val incarnation: Long,
-    val epochSeen: Long,
-    val leading: Boolean,
-    /** The epoch that this node led last and has stopped acting for, or 0. Proof for a take-over. */
-    val resignedEpoch: Long,
-    val stateReachable: Boolean,
-    /** Workers that turned up here within the last few seconds though this node does not lead. */
-    val strayWorkers: Int,
-    /** What a node can read of other nodes' data: [PeerCodec.LEVEL] of its version. */
-    val level: Int = PeerCodec.FIRST_LEVEL,
-) : PeerMessage
-
-data class JobProgress(val id: String, val done: Int, val running: Int)
-
-/** From the leader of [epoch]: how far jobs are, for display at every node. */
-data class ProgressNews(val epoch: Long, val jobs: List<JobProgress>) : PeerMessage
-
+/** Frames between controllers. */
 object PeerCodec {
     private const val STATUS = 1
     private const val PROGRESS = 2
+    private const val REPORT = 3
+    private const val ANSWER = 4
     const val MAX_FRAME = 64 * 1024
 
     /** The first version, whose frames name no level. */
@@ -39,6 +19,8 @@
     fun write(message: PeerMessage): ByteArray = when (message) {
         is PeerStatus -> status(message)
         is ProgressNews -> progress(message)
+        is RelayedReport -> RelayCodec.write(Buffer().writeByte(REPORT), message)
+        is RelayedAnswer -> RelayCodec.write(Buffer().writeByte(ANSWER), message)
     }
 
     private fun status(s: PeerStatus): ByteArray {
@@ -48,6 +30,8 @@
         body.writeByte(if (s.leading) 1 else 0).writeByte(if (s.stateReachable) 1 else 0).writeInt(s.strayWorkers)
         // Frames grow at the end only: the first version reads up to here and ignores the rest.
         body.writeInt(s.level)
+        // The second one up to here.
+        s.links?.let { LinkCodec.write(body, it) }
         return body.readByteArray()
     }
 
@@ -63,6 +47,8 @@
         when (b.readByte().toInt()) {
             STATUS -> readStatus(b)
             PROGRESS -> readProgress(b)
+            REPORT -> RelayCodec.readReport(b)
+            ANSWER -> RelayCodec.readAnswer(b)
             else -> throw BadMessage("peer: unknown kind of frame")
         }
     } catch (_: java.io.EOFException) {
@@ -78,24 +64,12 @@
         val reachable = b.readByte().toInt() == 1
         val strays = b.readInt()
         val level = if (b.exhausted()) FIRST_LEVEL else b.readInt()
-        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, strays, level)
+        val links = if (b.exhausted()) null else LinkCodec.read(b)
+        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, strays, level, links)
     }
 
     private fun readProgress(b: Buffer): ProgressNews {
         val epoch = b.readLong()
-        val count = b.readInt()
-        if (count !in 0..MAX_FRAME) throw BadMessage("peer: $count jobs")
-        return ProgressNews(epoch, List(count) { JobProgress(b.readName(), b.readInt(), b.readInt()) })
-    }
-
-    private fun Buffer.name(name: String): Buffer {
-        val bytes = name.encodeToByteArray()
-        return writeInt(bytes.size).write(bytes)
-    }
-
-    private fun Buffer.readName(): String {
-        val size = readInt()
-        if (size !in 1..200) throw BadMessage("peer: bad name")
-        return readUtf8(size.toLong())
+        return ProgressNews(epoch, b.readList { JobProgress(b.readName(), b.readInt(), b.readInt()) })
     }
 }
--- /dev/null
+++ b/src/main/kotlin/plankwall/wire/PeerMessages.kt
@@ -0,0 +1,80 @@
+package plankwall.wire
+
+/** What controllers tell each other. */
+sealed interface PeerMessage {
+    /** The node that says so; null where it does not matter who does. */
+    val speaker: String?
+}
+
+/** Once a second: who a node is, whom it follows, whom it could reach. */
+data class PeerStatus(
+    val node: String,
+    val incarnation: Long,
+    val epochSeen: Long,
+    val leading: Boolean,
+    /** The epoch that this node led last and has stopped acting for, or 0. Proof for a take-over. */
+    val resignedEpoch: Long,
+    val stateReachable: Boolean,
+    /** Workers that turned up here within the last few seconds and could not be served. */
+    val strayWorkers: Int,
+    /** What a node can read of other nodes' data: [PeerCodec.LEVEL] of its version. */
+    val level: Int = PeerCodec.FIRST_LEVEL,
+    /** Null from a version that knows nothing of it, and that is not to be sent [RelayedReport]s either. */
+    val links: LinkReport? = null,
+) : PeerMessage {
+    override val speaker: String get() = node
+}
+
+data class JobProgress(val id: String, val done: Int, val running: Int)
+
+/** From the leader of [epoch]: how far jobs are, for display at every node. */
+data class ProgressNews(val epoch: Long, val jobs: List<JobProgress>) : PeerMessage {
+    override val speaker: String? get() = null
+}
+
+/**
+ * How the links of a node stand, as far as it knows itself. Ages are in milliseconds by its own steady clock when the
+ * frame was made, negative where there is nothing to be old.
+ */
+data class LinkReport(
+    /** Rises with every frame of this node, over its restarts too. Whoever echoes it has been sent that frame. */
+    val seq: Long,
+    /** The newest [seq] that this node has had from each peer: proof to that peer of how old this frame can be. */
+    val echoes: Map<String, Long>,
+    /** Since the state service last did as asked, by [StoreUse]: each may fail alone. */
+    val storeAgesMs: List<Int>,
+    val cloudAgeMs: Int,
+    /** Workers that turned up here within the last report interval, whatever they were told. */
+    val turnUps: Int,
+    /** Of the leader, by zone; empty from the others. */
+    val zones: List<ZoneReach>,
+    /** Who leads by the best proof that this node has itself; not what it was told. */
+    val leader: LeaderWord?,
+    /** Of one that gave up the lead: whom it would have lead. */
+    val successor: String?,
+)
+
+enum class StoreUse { READ, WRITE, RENEW, WATCH }
+
+/** A leader's machines in one zone: [known] at work, of these [late] with a report that came straight to it. */
+data class ZoneReach(val zone: String, val known: Int, val late: Int)
+
+data class LeaderWord(val node: String, val epoch: Long, val ageMs: Int)
+
+/**
+ * A worker's report that reached [from], for the leader that only [from] can reach. [echo]: the newest frame that [from]
+ * has had from the leader, which tells the leader how old this can be. [address]: where the report came from, or empty.
+ */
+data class RelayedReport(val from: String, val id: Long, val echo: Long, val address: String, val report: Report) : PeerMessage {
+    override val speaker: String get() = from
+}
+
+/** The answer of the leader [from] to the [RelayedReport] [id], to be handed to the worker as it is. */
+data class RelayedAnswer(val from: String, val id: Long, val status: Int, val body: ByteArray) : PeerMessage {
+    override val speaker: String get() = from
+
+    override fun equals(other: Any?): Boolean =
+        other is RelayedAnswer && other.from == from && other.id == id && other.status == status && other.body.contentEquals(body)
+
+    override fun hashCode(): Int = id.hashCode()
+}
--- a/src/test/kotlin/plankwall/BootTimesTest.kt
+++ b/src/test/kotlin/plankwall/BootTimesTest.kt
@@ -4,7 +4,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.rental.BootTimes
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** For how long a machine on its way is counted on, after boots of machines whose type should take 10 s. */
 class BootTimesTest {
--- a/src/test/kotlin/plankwall/ConsolidationTest.kt
+++ b/src/test/kotlin/plankwall/ConsolidationTest.kt
@@ -7,7 +7,7 @@
 import plankwall.core.rental.Consolidation
 import plankwall.model.Resources
 import plankwall.sim.CoreParts
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** What the fleet could do without, and how much work is to be expected. */
 class ConsolidationTest {
--- a/src/test/kotlin/plankwall/EstimatorTest.kt
+++ b/src/test/kotlin/plankwall/EstimatorTest.kt
@@ -7,7 +7,7 @@
 import plankwall.core.rental.Growth
 import plankwall.model.Shape
 import plankwall.sim.CoreParts
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** What is rented for one waiting task beside one busy machine. */
 class EstimatorTest {
--- a/src/test/kotlin/plankwall/FaultDaysTest.kt
+++ b/src/test/kotlin/plankwall/FaultDaysTest.kt
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.model.Priority
 import plankwall.model.Shape
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** Whole days in virtual time, each with its troubles and several seeds: no rule may break, and the work gets done. */
 class FaultDaysTest {
--- a/src/test/kotlin/plankwall/JobLedgerTest.kt
+++ b/src/test/kotlin/plankwall/JobLedgerTest.kt
@@ -6,7 +6,7 @@
 import plankwall.core.step.Context
 import plankwall.core.step.Effect
 import plankwall.model.Tuning
-import plankwall.sim.World
+import plankwall.lab.World
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
 import plankwall.wire.StateEvent
--- a/src/test/kotlin/plankwall/LargeSiteTest.kt
+++ b/src/test/kotlin/plankwall/LargeSiteTest.kt
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test
 import plankwall.model.Priority
 import plankwall.model.Shape
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** Hundreds of machines, and work that needs many of them at once. */
 class LargeSiteTest {
--- a/src/test/kotlin/plankwall/OutlookDaysTest.kt
+++ b/src/test/kotlin/plankwall/OutlookDaysTest.kt
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.model.Shape
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** Days on which many machines fall silent together: what is left alone, and what is rented before anything is proven. */
 class OutlookDaysTest {
--- a/src/test/kotlin/plankwall/PipelineDaysTest.kt
+++ b/src/test/kotlin/plankwall/PipelineDaysTest.kt
@@ -12,7 +12,7 @@
 import plankwall.model.Shape
 import plankwall.model.StateLimits
 import plankwall.sim.CoreParts
-import plankwall.sim.World
+import plankwall.lab.World
 import plankwall.wire.JobRecord
 
 /** Jobs that wait for others, on whole sites in virtual time. */
--- a/src/test/kotlin/plankwall/RegistryTest.kt
+++ b/src/test/kotlin/plankwall/RegistryTest.kt
@@ -10,7 +10,7 @@
 import plankwall.core.step.Context
 import plankwall.model.GroupKey
 import plankwall.model.Tuning
-import plankwall.sim.World
+import plankwall.lab.World
 import java.util.Random
 
 /** The registry's questions (S1 to S3 of the paper) on fleets given as counts. */
--- a/src/test/kotlin/plankwall/RuleCheckerTest.kt
+++ b/src/test/kotlin/plankwall/RuleCheckerTest.kt
@@ -5,9 +5,9 @@
 import org.junit.jupiter.params.provider.ValueSource
 import plankwall.model.GroupKey
 import plankwall.model.JobSpec
-import plankwall.sim.RuleChecker
-import plankwall.sim.SimWorker
-import plankwall.sim.World
+import plankwall.lab.RuleChecker
+import plankwall.lab.SimWorker
+import plankwall.lab.World
 
 /** A checker that can't fail proves nothing: each rule is broken once on purpose. */
 class RuleCheckerTest {
--- a/src/test/kotlin/plankwall/SmallerLimitsTest.kt
+++ b/src/test/kotlin/plankwall/SmallerLimitsTest.kt
@@ -12,7 +12,7 @@
 import plankwall.model.Catalog
 import plankwall.model.GroupKey
 import plankwall.model.StateLimits
-import plankwall.sim.World
+import plankwall.lab.World
 import plankwall.wire.FleetRecord
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
--- a/src/test/kotlin/plankwall/VersionsTest.kt
+++ b/src/test/kotlin/plankwall/VersionsTest.kt
@@ -13,8 +13,8 @@
 import plankwall.model.Shape
 import plankwall.sim.RecordJson.decode
 import plankwall.sim.RecordJson.encode
-import plankwall.sim.SimWorker
-import plankwall.sim.World
+import plankwall.lab.SimWorker
+import plankwall.lab.World
 import plankwall.wire.CatalogRecord
 import plankwall.wire.FinalRecord
 import plankwall.wire.FleetRecord
--- a/src/test/kotlin/plankwall/WarmRoomTest.kt
+++ b/src/test/kotlin/plankwall/WarmRoomTest.kt
@@ -8,7 +8,7 @@
 import plankwall.core.placing.WarmRoom
 import plankwall.model.Shape
 import plankwall.sim.CoreParts
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** A task may fetch its image on a cold machine now, or wait for a machine that has it. */
 class WarmRoomTest {
--- a/src/test/kotlin/plankwall/WorkerDeskTest.kt
+++ b/src/test/kotlin/plankwall/WorkerDeskTest.kt
@@ -7,7 +7,7 @@
 import plankwall.core.workers.WorkerDesk
 import plankwall.model.Shape
 import plankwall.sim.CoreParts
-import plankwall.sim.World
+import plankwall.lab.World
 import plankwall.wire.ExitCause
 import plankwall.wire.Report
 import plankwall.wire.TaskReport
--- a/src/test/kotlin/plankwall/gate/Callers.kt
+++ b/src/test/kotlin/plankwall/gate/Callers.kt
@@ -6,8 +6,8 @@
 import plankwall.identity.SigningKey
 import plankwall.identity.Tokens
 import plankwall.model.JobSpec
-import plankwall.sim.SimWorker
-import plankwall.sim.World
+import plankwall.lab.SimWorker
+import plankwall.lab.World
 import plankwall.wire.KeeperCodec
 
 /** People and services of a test site, their keys, and every request they made with what they were told. */
--- a/src/test/kotlin/plankwall/gate/GateDaysTest.kt
+++ b/src/test/kotlin/plankwall/gate/GateDaysTest.kt
@@ -10,7 +10,7 @@
 import plankwall.model.Priority
 import plankwall.model.Shape
 import plankwall.model.StateLimits
-import plankwall.sim.World
+import plankwall.lab.World
 import plankwall.wire.StateOp
 import plankwall.wire.Write
 
--- a/src/test/kotlin/plankwall/gate/GateLimitsTest.kt
+++ b/src/test/kotlin/plankwall/gate/GateLimitsTest.kt
@@ -11,7 +11,7 @@
 import plankwall.identity.ReplayGuard
 import plankwall.model.StateLimits
 import plankwall.model.Tuning
-import plankwall.sim.World
+import plankwall.lab.World
 import java.util.Random
 
 /** What bounds the gate: floods, room for used tokens, the state service's limits, and the doors that are not users'. */
--- a/src/test/kotlin/plankwall/gate/TrailChecker.kt
+++ b/src/test/kotlin/plankwall/gate/TrailChecker.kt
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode
 import plankwall.audit.TrailCopy
-import plankwall.sim.SimState
-import plankwall.sim.SimWorker
+import plankwall.lab.SimState
+import plankwall.lab.SimWorker
 import plankwall.wire.JobRecord
 import plankwall.wire.Stored
 import plankwall.wire.TrailSeal
--- a/src/test/kotlin/plankwall/gate/TrailReplayTest.kt
+++ b/src/test/kotlin/plankwall/gate/TrailReplayTest.kt
@@ -10,8 +10,8 @@
 import plankwall.core.step.Proof
 import plankwall.identity.PublicKey
 import plankwall.model.Shape
-import plankwall.sim.SimWorker
-import plankwall.sim.World
+import plankwall.lab.SimWorker
+import plankwall.lab.World
 import plankwall.wire.JobRecord
 import plankwall.wire.Stored
 import plankwall.wire.TrailSegment
--- a/src/test/kotlin/plankwall/identity/PeerFramesTest.kt
+++ b/src/test/kotlin/plankwall/identity/PeerFramesTest.kt
@@ -11,7 +11,7 @@
 import plankwall.core.lead.Leadership
 import plankwall.gate.Callers
 import plankwall.model.Tuning
-import plankwall.sim.World
+import plankwall.lab.World
 import plankwall.wire.LeaderRecord
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
--- /dev/null
+++ b/src/test/kotlin/plankwall/links/HalfCutDaysTest.kt
@@ -0,0 +1,149 @@
+package plankwall.links
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+import plankwall.lab.Cut
+import plankwall.lab.LinkDay
+import plankwall.lab.World
+import plankwall.model.Shape
+
+/** Links cut in part: whoever can reach a leader through anybody keeps its work. Leases are 15 s here. */
+class HalfCutDaysTest {
+    private val world = World(11, nodeCount = 5)
+    private val first: World.Node
+
+    init {
+        world.clock.after(2.0) { world.submit(World.job(1, Shape.SERVICE, tasks = 80, spread = true)) }
+        world.clock.runUntil(45.0)
+        assertEquals(20, world.cloud.alive.size)
+        first = world.nodes.first { it.leading }
+    }
+
+    private val others get() = world.nodes.filter { it !== first }
+
+    private fun cut(nodes: List<World.Node>, what: String, how: Cut) = nodes.forEach { world.wiring.cutBoth(it.name, what, how) }
+
+    private fun peersApart(how: Cut) = world.nodes.forEach { a -> world.nodes.filter { it !== a }.forEach { world.wiring.cut(a.name, it.name, how) } }
+
+    /** Goes on for [forS], heals, and looks for what was lost. */
+    private fun survives(forS: Double = 40.0) {
+        world.clock.runUntil(world.clock.now + forS)
+        assertEquals(0, world.leaseDeaths, "tasks killed by their lease")
+        world.wiring.healAll()
+        world.clock.runUntil(world.clock.now + 40.0)
+        assertEquals(emptyList<String>(), world.checker.broken)
+        assertEquals(0, world.leaseDeaths, "tasks killed by their lease after the cut")
+        assertEquals(80, world.checker.starts, "replicas were started anew")
+        assertEquals("running", world.stageOf("job-000001"))
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["REFUSE", "DROP", "HOLD"])
+    fun `all but one lose the store, the leader among them, and name the new leader all the same`(how: Cut) {
+        cut(listOf(first) + others.take(3), "state", how)
+        survives()
+        assertTrue(others.last().leading)
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["REFUSE", "DROP", "HOLD"])
+    fun `a leader that workers can't reach from the start serves them through its peers`(how: Cut) {
+        // Whoever wins is out of reach; the others are not.
+        first.crash(200.0)
+        world.onEffect = { node, _ -> if (node.leading && world.wiring.cuts == 0) cut(listOf(node), "workers", how) }
+        survives(60.0)
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "'leader without workers', 0, 1, REFUSE",
+        "'leader without workers, packets held', 0, 1, HOLD",
+        "'leader without store, which goes on as a follower', 1, 0, HOLD",
+        "'halves: some have the store, the others the workers', 2, 3, REFUSE",
+        "'all but one without workers, told at once', 0, 4, REFUSE",
+    )
+    fun `nothing dies while any node reaches both, itself or through a peer`(name: String, withoutStore: Int, withoutWorkers: Int, how: Cut) {
+        cut((listOf(first) + others).take(withoutWorkers), "workers", how)
+        cut((if (withoutWorkers == 0) listOf(first) + others else others.reversed()).take(withoutStore), "state", how)
+        survives()
+    }
+
+    @Test
+    fun `a link that goes up and down moves neither the lead nor the workers each time`() {
+        var leads = 0
+        repeat(8) {
+            cut(listOf(first), "workers", Cut.HOLD)
+            world.clock.runUntil(world.clock.now + 5.0)
+            world.wiring.healAll()
+            world.clock.runUntil(world.clock.now + 5.0)
+            if (!first.leading) leads++
+        }
+        assertEquals(0, leads)
+        survives(1.0)
+    }
+
+    @Test
+    fun `a leader served by others for long hands over to a named peer, and only then`() {
+        // The others hear the workers straight; two leases of 15 s pass, and the first reports.
+        cut(listOf(first), "workers", Cut.REFUSE)
+        val peer = others.first()
+        cut(others.drop(1), "workers", Cut.REFUSE)
+        world.clock.runUntil(world.clock.now + 25.0)
+        assertTrue(first.leading, "handed over for a passing cut")
+        world.clock.runUntil(world.clock.now + 25.0)
+        assertTrue(peer.leading, "the one that all workers reach does not lead")
+        survives(1.0)
+    }
+
+    @Test
+    fun `peers apart and the leader without store - nobody takes silence for proof`() {
+        peersApart(Cut.HOLD)
+        cut(listOf(first), "state", Cut.HOLD)
+        world.clock.runUntil(world.clock.now + 60.0)
+        world.wiring.healAll()
+        world.clock.runUntil(world.clock.now + 60.0)
+        assertEquals(emptyList<String>(), world.checker.broken)
+        assertEquals("running", world.stageOf("job-000001"))
+    }
+
+    @Test
+    fun `nodes of the older version are sent no frame that they can't read, and hand over as they did`() {
+        others.forEach { world.older.add(it.name) }
+        world.clock.runUntil(world.clock.now + 3.0)
+        cut(listOf(first), "workers", Cut.REFUSE)
+        world.clock.runUntil(world.clock.now + 12.0)
+        assertTrue(!first.leading && world.nodes.any { it.leading }, "the older ones can't pass reports on, so one of them must lead")
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
+
+    @Test
+    fun `the last report of a machine that was given back, held by a cut, does not make the leader yield`() {
+        // Its worker was shown a token beyond the epoch, as every machine that is poked is.
+        world.submit(World.job(2, tasks = 8, runS = 5.0))
+        world.clock.runUntil(world.clock.now + 12.0)
+        val leaver = world.cloud.workers.last()
+        world.wiring.cut(leaver.id, first.name, Cut.HOLD)
+        world.clock.runUntil(world.clock.now + 4.0)
+        val report = leaver.report().copy(token = world.state.version("fleet").coerceAtLeast(2))
+        world.clock.runUntil(world.clock.now + 60.0)
+        var answered = 0
+        world.checkIn(leaver, first, report.copy(machine = leaver.id)) { status, _ -> answered = status }
+        world.wiring.healAll()
+        world.clock.runUntil(world.clock.now + 3.0)
+        assertTrue(first.leading, "yielded for a token of its own")
+        assertTrue(answered != 0)
+    }
+
+    @ParameterizedTest(name = "{0} nodes, day {1}")
+    @CsvSource("3, 1", "5, 2", "7, 3", "5, 19", "7, 23", "7, 14")
+    fun `a day of links cut at random, at 300 machines`(nodes: Int, seed: Long) {
+        val day = LinkDay(seed, nodes, machines = 300).play()
+        assertEquals(emptyList<String>(), day.broken)
+        assertEquals(0, day.avoidable, "tasks that somebody could have kept alive: ${day.troubles}")
+        assertTrue(day.starts >= 1200)
+    }
+}
--- a/src/test/kotlin/plankwall/load/RevocationReach.kt
+++ b/src/test/kotlin/plankwall/load/RevocationReach.kt
@@ -2,7 +2,7 @@
 
 import org.HdrHistogram.Histogram
 import plankwall.gate.Callers
-import plankwall.sim.World
+import plankwall.lab.World
 
 /** How long after a publication was confirmed the last of seven nodes goes by it; by hand, in virtual time. */
 object RevocationReach {
--- a/src/test/kotlin/plankwall/sim/CoreParts.kt
+++ b/src/test/kotlin/plankwall/sim/CoreParts.kt
@@ -7,6 +7,7 @@
 import plankwall.core.lead.LeaderStore
 import plankwall.core.lead.Leadership
 import plankwall.core.step.Context
+import plankwall.lab.World
 import plankwall.model.GroupKey
 import plankwall.model.JobSpec
 import plankwall.model.Tuning
