A zone that was shut is called back as one; only its own zone's silence keeps a worker from the leader

Change: silence is judged by zone; once one machine of a zone that was shut gets through, all of it are called; a worker that nobody can pass on is sent to the leader again after a report interval. Stand-in nodes can stand still.

--- a/src/main/kotlin/plankwall/core/relay/DirectReach.kt
+++ b/src/main/kotlin/plankwall/core/relay/DirectReach.kt
@@ -21,11 +21,14 @@
         var probedAt = Machine.NEVER
         var notBefore = Machine.NEVER
         var pauseS = 0.0
+
+        /** While its reports came through others there was a time when nobody of its zone came straight: the zone's link, not its own. */
+        var withZone = false
     }
 
     private val log = LoggerFactory.getLogger("relay")
     private val byMachine = HashMap<Int, Reach>()
-    private val lastStraight = HashMap<String, Double>()
+    private val lastOpen = HashMap<String, Double>()
     private val times = ctx.settings.workers
     private var lastReached = Machine.NEVER
     private var probes = 0.0
@@ -38,7 +41,7 @@
     fun cameStraight(m: Machine) {
         val reach = of(m)
         reach.directAt = ctx.now
-        m.group?.let { lastStraight[it.zone] = ctx.now }
+        m.group?.let { lastOpen[it.zone] = ctx.now }
         if (reach.pauseS > 0 && ctx.now - reach.relayedAt > times.leaseS * 2) reach.pauseS = 0.0
     }
 
@@ -51,7 +54,10 @@
             reach.notBefore = ctx.now + reach.pauseS
             reach.calledAt = Machine.NEVER
         }
-        val open = ctx.now - reach.reachedAt < times.reportS * LONGEST_REPORT && ctx.now >= reach.notBefore
+        reach.withZone = !isOpen(m) || (reach.withZone && reach.relayedAt > reach.directAt)
+        val reached = ctx.now - reach.reachedAt < times.reportS * LONGEST_REPORT
+        // Where a whole zone was shut and one of it gets through again, all do; one by one they would take half a minute.
+        val open = ctx.now >= reach.notBefore && (reached || (reach.withZone && isOpen(m)))
         if (!open) {
             reach.relayedAt = ctx.now
             return false
@@ -65,6 +71,7 @@
     /** The machine answered a direct command: the way is open in both directions. */
     fun reached(m: Machine) {
         of(m).reachedAt = ctx.now
+        m.group?.let { lastOpen[it.zone] = ctx.now }
         lastReached = ctx.now
     }
 
@@ -74,10 +81,12 @@
      */
     fun onlyThroughOthers(m: Machine): Boolean {
         val reach = byMachine[m.ix.value] ?: return false
-        if (reach.relayedAt <= maxOf(reach.directAt, reach.reachedAt)) return false
-        return ctx.now < reach.notBefore || ctx.now - (lastStraight[m.group?.zone] ?: Machine.NEVER) > times.reportS * LONGEST_REPORT
+        return reach.relayedAt > maxOf(reach.directAt, reach.reachedAt) && (ctx.now < reach.notBefore || !isOpen(m))
     }
 
+    /** Somebody of the machine's zone has come straight, or was reached, within a report interval. */
+    private fun isOpen(m: Machine): Boolean = ctx.now - (lastOpen[m.group?.zone] ?: Machine.NEVER) < times.reportS * LONGEST_REPORT
+
     /** Machines to be tried now: a few while nothing gets through, many once something does. */
     fun toProbe(): List<Machine> {
         val rate = if (ctx.now - lastReached < times.reportS) PROBES_OPEN else PROBES_SHUT
--- a/src/main/kotlin/plankwall/core/relay/WorkerRelay.kt
+++ b/src/main/kotlin/plankwall/core/relay/WorkerRelay.kt
@@ -46,7 +46,7 @@
         val leader = routing.leader()
         when {
             leader == null -> refuse(input.request, "no leader is known")
-            cameBack(seen, leader) || isOutOfReach(leader) -> if (!relay(input, leader)) turnAway(input.request, seen, leader) else seen.keep(leader)
+            cameBack(seen, leader) || isOutOfReach(leader, input.report.zone) -> if (!relay(input, leader)) turnAway(input.request, seen, leader) else seen.keep(leader)
             // A scout or two of each zone go first; the others are served here until one has arrived.
             isUntried(leader, input.report.zone) && !isScout(leader, input.report.zone) && relay(input, leader) -> Unit
             else -> sendTo(input.request, seen, leader)
@@ -90,13 +90,13 @@
         seen.sentTo == leader.epoch && (seen.relayed || ctx.now - seen.sentAt < times.leaseS)
 
     /**
-     * The leader misses many that should come straight to it. Then a first try there would cost this worker several seconds
-     * of its lease, and who knows where it ends up after; the leader sends it over once it can be reached again.
+     * The leader misses many of [zone] that should come straight to it. Then a first try there would cost this worker several
+     * seconds of its lease, and who knows where it ends up after; the leader sends it over once it can be reached again.
+     * Other zones that are cut off say nothing of this one.
      */
-    private fun isOutOfReach(leader: Claim): Boolean {
-        val zones = wordOf(leader)?.links?.zones ?: return false
-        val known = zones.sumOf { it.known }
-        return known > 1 && zones.sumOf { it.late } > known * BROADLY_LATE
+    private fun isOutOfReach(leader: Claim, zone: String): Boolean {
+        val reach = wordOf(leader)?.links?.zones?.find { it.zone == zone } ?: return false
+        return reach.known > 1 && reach.late > reach.known * BROADLY_LATE
     }
 
     private fun relay(input: Input.CheckIn, leader: Claim): Boolean {
@@ -109,9 +109,12 @@
         return true
     }
 
-    /** Back from a leader that can't be reached from here either: another node may do better. */
+    /**
+     * Back from a leader that can't be reached from here either: another node may do better. After a while the worker is sent
+     * there again: when a cut between zones heals, its own way may be open before that of the nodes is known to be.
+     */
     private fun turnAway(request: RequestId, seen: Seen, leader: Claim) {
-        if (seen.sentTo == leader.epoch) refuse(request, "the leader can't be reached from here") else sendTo(request, seen, leader)
+        if (seen.sentTo == leader.epoch && ctx.now - seen.sentAt < times.reportS * LONGEST_REPORT) refuse(request, "the leader can't be reached from here") else sendTo(request, seen, leader)
     }
 
     private fun sendTo(request: RequestId, seen: Seen, leader: Claim) {
@@ -170,7 +173,7 @@
         /** Well below the 4 s that a worker waits, and far above what two frames take. */
         const val ANSWER_S = 1.5
 
-        /** A quarter of a fleet does not fall silent one by one. */
+        /** A quarter of a zone does not fall silent one by one. */
         const val BROADLY_LATE = 0.25
         const val MAX_WORKERS = 20_000
         const val LINE_S = 5.0
--- a/src/main/kotlin/plankwall/lab/LinkDay.kt
+++ b/src/main/kotlin/plankwall/lab/LinkDay.kt
@@ -87,8 +87,8 @@
     }
 
     private fun couldServe(world: World, worker: SimWorker, node: World.Node): Boolean =
-        world.wiring.isOpen(node.name, worker.id, worker.group.zone) &&
-            world.nodes.any { it.leading && (it === node || open(world, node.name, it.name)) }
+        !node.frozen && world.wiring.isOpen(node.name, worker.id, worker.group.zone) &&
+            world.nodes.any { it.leading && !it.frozen && (it === node || open(world, node.name, it.name)) }
 
     private fun open(world: World, a: String, b: String) = world.wiring.isOpen(a, b) && world.wiring.isOpen(b, a)
 
--- a/src/main/kotlin/plankwall/lab/LinkTrouble.kt
+++ b/src/main/kotlin/plankwall/lab/LinkTrouble.kt
@@ -87,9 +87,10 @@
             }
         }
 
-        private fun besides(random: UniformRandomProvider, at: Double, forS: Double, picks: List<Int>): LinkTrouble = when (random.nextInt(3)) {
+        private fun besides(random: UniformRandomProvider, at: Double, forS: Double, picks: List<Int>): LinkTrouble = when (random.nextInt(4)) {
             0 -> LinkTrouble("a crash", at, forS, { nodes[picks.first()].let { if (it.up) it.crash(8.0) } }, {})
-            1 -> LinkTrouble("an outage", at, forS / 2, { state.outage = true }, { state.outage = false })
+            1 -> LinkTrouble("a leader frozen", at, forS / 2, { nodes.filter { it.leading }.forEach { it.freeze(forS / 2) } }, {})
+            2 -> LinkTrouble("an outage", at, forS / 2, { state.outage = true }, { state.outage = false })
             else -> LinkTrouble("late writes", at, forS, { lateWrites = 0.1 }, { lateWrites = 0.0 })
         }
     }
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -93,6 +93,8 @@
         private var nextRequest = 1L
         private val answers = HashMap<RequestId, (Int, ByteArray) -> Unit>()
         private var door: PeerDoor? = null
+        private var frozenUntil = 0.0
+        private val backlog = ArrayList<Pair<Int, Input>>()
 
         /** The gate of the present life, where there are gates. */
         var house: Gatehouse? = null
@@ -101,6 +103,7 @@
 
         val up: Boolean get() = core != null
         val leading: Boolean get() = core?.leading == true
+        val frozen: Boolean get() = clock.now < frozenUntil
 
         fun start() {
             life++
@@ -124,8 +127,22 @@
             clock.after(backAfter) { start() }
         }
 
+        /** Stands still while its clocks run on; what comes meanwhile is worked off afterwards, in order. */
+        fun freeze(forS: Double) {
+            frozenUntil = clock.now + forS
+            clock.after(forS) {
+                val late = backlog.toList()
+                backlog.clear()
+                late.forEach { (l, input) -> if (l == life) feed(input) }
+            }
+        }
+
         fun feed(input: Input) {
             val c = core ?: return
+            if (clock.now < frozenUntil) {
+                if (input != Input.Tick) backlog.add(life to input)
+                return
+            }
             for (effect in c.step(clock.now * skew + 1000, wallMs(), input)) {
                 perform(effect)
                 // The rest of what it wanted done is lost with the process.
--- a/src/test/kotlin/plankwall/links/HalfCutDaysTest.kt
+++ b/src/test/kotlin/plankwall/links/HalfCutDaysTest.kt
@@ -64,6 +64,7 @@
         "'leader without workers, packets held', 0, 1, HOLD",
         "'leader without store, which goes on as a follower', 1, 0, HOLD",
         "'halves: some have the store, the others the workers', 2, 3, REFUSE",
+        "'the only one with the store is without workers', 4, 1, REFUSE",
         "'all but one without workers, told at once', 0, 4, REFUSE",
     )
     fun `nothing dies while any node reaches both, itself or through a peer`(name: String, withoutStore: Int, withoutWorkers: Int, how: Cut) {
@@ -72,6 +73,32 @@
         survives()
     }
 
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("during an outage for all", "during a take-over", "while renewals go unanswered", "while the leader stands still")
+    fun `a leader cut from its workers in the midst of something else`(what: String) {
+        when (what) {
+            "during an outage for all" -> {
+                world.state.outage = true
+                world.clock.after(20.0) { world.state.outage = false }
+            }
+            "during a take-over" -> first.crash(8.0)
+            "while renewals go unanswered" -> world.loss = 0.1
+            else -> first.freeze(9.0)
+        }
+        world.clock.after(2.0) { cut(listOf(world.nodes.firstOrNull { it.leading } ?: first), "workers", Cut.REFUSE) }
+        world.clock.after(25.0) { world.loss = 0.0 }
+        survives()
+    }
+
+    @Test
+    fun `two leaders gone within one lease, each at once out of reach`() {
+        cut(listOf(first), "workers", Cut.REFUSE)
+        world.clock.after(1.0) { first.crash(30.0) }
+        world.clock.after(6.0) { world.nodes.filter { it.leading }.forEach { cut(listOf(it), "workers", Cut.REFUSE) } }
+        world.clock.after(7.0) { world.nodes.filter { it.leading }.forEach { cut(listOf(it), "state", Cut.HOLD) } }
+        survives()
+    }
+
     @Test
     fun `a link that goes up and down moves neither the lead nor the workers each time`() {
         var leads = 0
