--- a/src/main/kotlin/plankwall/core/lead/Leadership.kt
+++ b/src/main/kotlin/plankwall/core/lead/Leadership.kt
@@ -146,6 +146,8 @@
                 } else {
                     // Lost the race, or the outcome is unknown: whatever was written must not outlive this try.
                     ctx.out.state(StateOp.Drop(granted.lease)) {}
+                    // Somebody else has won, and the workers are at the door already: who it is had better be known at once.
+                    nextPoll = minOf(nextPoll, ctx.now)
                 }
             }
         }
--- a/src/main/kotlin/plankwall/core/outlook/Outlook.kt
+++ b/src/main/kotlin/plankwall/core/outlook/Outlook.kt
@@ -78,7 +78,7 @@
     val settling: Boolean get() = ctx.now < startedAt + wayBackS && fleet.machines.any { isAwaited(it) }
 
     /** Every worker that can reach a node has been due with a report since the take-over, and nearly all are here. */
-    val firstAreBack: Boolean get() = ctx.now >= startedAt + reportS * LONGEST_REPORT + HOPS_S
+    val firstAreBack: Boolean get() = ctx.now >= startedAt + ctx.settings.workers.longestReportS + HOPS_S
 
     /**
      * Replicas of live services on machines believed lost, by job. They count as placed until there is proof, and start
@@ -99,8 +99,7 @@
         /** A few silent machines are no sign of anything broad, whatever their share. */
         const val HANDFUL = 3
 
-        /** Reports come up to a quarter late; then a try at a node that is gone, and one at a node that only knows who leads. */
-        const val LONGEST_REPORT = 1.25
+        /** A try at a node that is gone, and one at a node that only knows who leads. */
         const val HOPS_S = 2.0
     }
 }
--- a/src/main/kotlin/plankwall/core/relay/DirectReach.kt
+++ b/src/main/kotlin/plankwall/core/relay/DirectReach.kt
@@ -31,6 +31,10 @@
     private val lastOpen = HashMap<String, Double>()
     private val times = ctx.settings.workers
     private var lastReached = Machine.NEVER
+    private var lastThrough = Machine.NEVER
+
+    /** Nobody comes through others: nothing to look for among a thousand machines, ten times a second. */
+    private val quiet: Boolean get() = ctx.now - lastThrough >= times.reportS * 2
     private var probes = 0.0
     private var probesAt = ctx.now
     private var through = 0
@@ -55,11 +59,12 @@
             reach.calledAt = Machine.NEVER
         }
         reach.withZone = !isOpen(m) || (reach.withZone && reach.relayedAt > reach.directAt)
-        val reached = ctx.now - reach.reachedAt < times.reportS * LONGEST_REPORT
+        val reached = ctx.now - reach.reachedAt < times.longestReportS
         // Where a whole zone was shut and one of it gets through again, all do; one by one they would take half a minute.
         val open = ctx.now >= reach.notBefore && (reached || (reach.withZone && isOpen(m)))
         if (!open) {
             reach.relayedAt = ctx.now
+            lastThrough = ctx.now
             return false
         }
         reach.calledAt = ctx.now
@@ -85,10 +90,11 @@
     }
 
     /** Somebody of the machine's zone has come straight, or was reached, within a report interval. */
-    private fun isOpen(m: Machine): Boolean = ctx.now - (lastOpen[m.group?.zone] ?: Machine.NEVER) < times.reportS * LONGEST_REPORT
+    private fun isOpen(m: Machine): Boolean = ctx.now - (lastOpen[m.group?.zone] ?: Machine.NEVER) < times.longestReportS
 
     /** Machines to be tried now: a few while nothing gets through, many once something does. */
     fun toProbe(): List<Machine> {
+        if (quiet) return emptyList()
         val rate = if (ctx.now - lastReached < times.reportS) PROBES_OPEN else PROBES_SHUT
         probes = minOf(rate, probes + (ctx.now - probesAt) * rate)
         probesAt = ctx.now
@@ -110,7 +116,7 @@
     fun zones(): List<ZoneReach> {
         val known = HashMap<String, Int>()
         val late = HashMap<String, Int>()
-        val overdueS = times.reportS * LONGEST_REPORT + 0.5
+        val overdueS = times.longestReportS + 0.5
         for (m in fleet.machines) {
             val zone = m.group?.zone ?: continue
             if (m.returning || !(m.registered || (outlook.firstAreBack && outlook.isAwaited(m)))) continue
@@ -121,7 +127,7 @@
     }
 
     /** Machines that were heard through others within two report intervals. */
-    val throughOthers: Int get() = byMachine.values.count(::isThrough)
+    val throughOthers: Int get() = if (quiet) 0 else byMachine.values.count(::isThrough)
 
     fun tick() {
         if (ctx.now - lineAt < LINE_S) return
@@ -133,7 +139,6 @@
     }
 
     private companion object {
-        const val LONGEST_REPORT = 1.25
         const val MAX_PAUSE_LEASES = 8.0
         const val PROBES_SHUT = 2.0
         const val PROBES_OPEN = 40.0
--- a/src/main/kotlin/plankwall/core/relay/WorkerRelay.kt
+++ b/src/main/kotlin/plankwall/core/relay/WorkerRelay.kt
@@ -36,7 +36,7 @@
     private val mostWaiting = (ctx.settings.maxConnections / 4).coerceIn(16, 400)
 
     /** Workers that turned up within a report interval, whatever became of them. */
-    val turnUps: Int get() = workers.values.count { ctx.now - it.at < times.reportS * LONGEST_REPORT }
+    val turnUps: Int get() = workers.values.count { ctx.now - it.at < times.longestReportS }
 
     /** Workers that could not be served lately, neither here nor, as far as is known, by the leader. */
     val strays: Int get() = workers.values.count { it.unserved && ctx.now - it.at < STRAY_S }
@@ -114,7 +114,7 @@
      * there again: when a cut between zones heals, its own way may be open before that of the nodes is known to be.
      */
     private fun turnAway(request: RequestId, seen: Seen, leader: Claim) {
-        if (seen.sentTo == leader.epoch && ctx.now - seen.sentAt < times.reportS * LONGEST_REPORT) refuse(request, "the leader can't be reached from here") else sendTo(request, seen, leader)
+        if (seen.sentTo == leader.epoch && ctx.now - seen.sentAt < times.longestReportS) refuse(request, "the leader can't be reached from here") else sendTo(request, seen, leader)
     }
 
     private fun sendTo(request: RequestId, seen: Seen, leader: Claim) {
@@ -166,15 +166,13 @@
     }
 
     private companion object {
-        /** Reports come up to a quarter late. */
-        const val LONGEST_REPORT = 1.25
         const val STRAY_S = 5.0
 
         /** Well below the 4 s that a worker waits, and far above what two frames take. */
         const val ANSWER_S = 1.5
 
-        /** A quarter of a zone does not fall silent one by one. */
-        const val BROADLY_LATE = 0.25
+        /** Machines that died lately are late too, by a quarter of a zone and more; behind a cut all are late before the first is here. */
+        const val BROADLY_LATE = 0.5
         const val MAX_WORKERS = 20_000
         const val LINE_S = 5.0
         const val SCOUTS = 2
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -45,7 +45,7 @@
     val clock = SimClock()
     val settings: Settings = settings("n0", nodeCount).copy(stateNext = stateNext)
     val checker = RuleChecker(settings)
-    val state = SimState(clock)
+    val state = SimState(clock, settings.state)
     val nodes = List(nodeCount) { Node("n$it", settings("n$it", nodeCount).copy(stateNext = stateNext)) }
     val cloud = SimCloud(clock, random, CATALOG, 4.0) { id, group -> SimWorker(this, id, group) }
     private val specs = HashMap<String, JobSpec>()
--- a/src/main/kotlin/plankwall/model/Settings.kt
+++ b/src/main/kotlin/plankwall/model/Settings.kt
@@ -30,7 +30,10 @@
     val gangWaitS: Double,
     val gangPeerS: Double,
     val cancelS: Double,
-)
+) {
+    /** The longest, in seconds, that a sound worker goes without a report: they come up to a quarter late (PROTOCOL). */
+    val longestReportS: Double get() = reportS * 1.25
+}
 
 data class StateLimits(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int) {
     /** What keeps within both. */
