--- a/src/test/kotlin/plankwall/identity/PeerFramesTest.kt
+++ b/src/test/kotlin/plankwall/identity/PeerFramesTest.kt
@@ -15,6 +15,7 @@
 import plankwall.wire.LeaderRecord
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
+import plankwall.wire.RelayedAnswer
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
 import java.util.Random
@@ -74,6 +75,9 @@
         assertNull(open(seal(keys = listOf(newKey)).seal(frame, now)), "signed by a key that is not known")
         assertNull(open(seal("n0").seal(frame, now)), "sent back to its sender")
         assertNull(open(seal("n2").seal(frame, now)), "one peer in another's name")
+        val answer = PeerCodec.write(RelayedAnswer("n1", 7, 200, byteArrayOf(1)))
+        assertNull(open(seal("n2").seal(answer, now)), "an answer to a worker in the leader's name")
+        assertNotNull(open(seal().seal(answer, now)))
         assertNull(open(good, now + 11_000), "held back for long")
         assertNull(open(good, now - 1_000), "from the future")
         for (n in good.indices) assertNull(open(good.copyOf().also { it[n] = (it[n].toInt() xor 4).toByte() }), "byte $n changed")
--- /dev/null
+++ b/src/test/kotlin/plankwall/links/WorkerRelayTest.kt
@@ -0,0 +1,101 @@
+package plankwall.links
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import plankwall.core.links.LinkPicture
+import plankwall.core.links.Routing
+import plankwall.core.relay.WorkerRelay
+import plankwall.core.step.Context
+import plankwall.core.step.Effect
+import plankwall.core.step.Input
+import plankwall.core.step.RequestId
+import plankwall.lab.World
+import plankwall.model.Tuning
+import plankwall.wire.LinkReport
+import plankwall.wire.PeerStatus
+import plankwall.wire.RelayedAnswer
+import plankwall.wire.RelayedReport
+import plankwall.wire.Report
+import plankwall.wire.ZoneReach
+import java.util.Random
+
+/** What a node that does not lead tells a worker, step by step. */
+class WorkerRelayTest {
+    private val ctx = Context(World.settings("n0", 3), Tuning(), 1000, Random(1)).apply { time.advance(100.0, 0) }
+    private val picture = LinkPicture(ctx)
+    private val routing = Routing(ctx, picture, 2.5)
+    private val relay = WorkerRelay(ctx, picture, routing)
+    private var requests = 0L
+    private var lastId = 0L
+
+    /** n1 leads as [epoch]; [late] of its 40 machines in zone a do not come to it straight. */
+    private fun leads(epoch: Long, late: Int, known: Int = 40) {
+        val echo = picture.report(0, null, null).seq
+        val links = LinkReport(echo, mapOf("n0" to echo), emptyList(), 0, 0, listOf(ZoneReach("a", known, late)), null, null)
+        routing.hearOf(epoch)
+        picture.hear(PeerStatus("n1", 1, epoch, true, 0, true, 0, 2, links))
+    }
+
+    private fun told(): String = ctx.out.take().joinToString(" ") {
+        when (it) {
+            is Effect.Answer -> "${it.status}"
+            is Effect.PeerSend -> (it.message as RelayedReport).let { m ->
+                lastId = m.id
+                "to:${it.to}"
+            }
+            else -> error("$it")
+        }
+    }
+
+    private fun step(word: String): String {
+        when {
+            word.startsWith("w") -> relay.checkIn(Input.CheckIn(RequestId(++requests), Report("i-$word", "x", "box", "a", false, 1, requests, 0, null, emptyList())))
+            word.startsWith("+") -> {
+                ctx.time.advance(ctx.now + word.drop(1).toDouble(), 0)
+                relay.tick()
+            }
+            word.startsWith("leads:") -> word.split(':').let { leads(it[1].toLong(), it[2].toInt(), it.getOrNull(3)?.toInt() ?: 40) }
+            word.startsWith("answer") -> word.split(':').let { relay.answered(RelayedAnswer(it[1], lastId, it[2].toInt(), byteArrayOf(1))) }
+            word == "lead" -> relay.leads()
+            else -> error(word)
+        }
+        return told().ifEmpty { "-" }
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // name, what happens, what the worker is told or the leader is sent for each step
+        "'nobody is known', 'w1', '503'",
+        "'a sound leader', 'leads:5:0 w1', '- 421'",
+        "'sent, and back: it can''t get there', 'leads:5:0 w1 +2 leads:5:0 w1 answer:n1:200', '- 421 - - to:n1 200'",
+        "'once through, always through until it is called', 'leads:5:0 w1 +2 w1 answer:n1:200 +3 leads:5:0 w1 answer:n1:421', '- 421 - to:n1 200 - - to:n1 421'",
+        "'back long after: its lease is over, it starts anew', 'leads:5:0 w1 +20 leads:5:0 w1', '- 421 - - 421'",
+        "'back, but another leads: one try there', 'leads:5:0 w1 +2 leads:9:0 w1', '- 421 - - 421'",
+        "'more than half of its zone is missed', 'leads:5:21 w1', '- to:n1'",
+        "'a wave of machines died, the others come', 'leads:5:20 w1', '- 421'",
+        // Two scouts, the others wait until one of them has arrived.
+        "'a new leader, nobody has come yet', 'leads:5:0:0 w1 w2 w3 answer:n1:200 leads:5:0:2 w3 w4', '- 421 421 to:n1 200 - 421 421'",
+        // Late, forged or repeated answers go to nobody.
+        "'no answer in time, and then one', 'leads:5:40 w1 +1.6 answer:n1:200', '- to:n1 503 -'",
+        "'an answer by somebody else', 'leads:5:40 w1 answer:n2:200 answer:n1:200', '- to:n1 - 200'",
+        "'the same answer twice', 'leads:5:40 w1 answer:n1:200 answer:n1:200', '- to:n1 200 -'",
+        "'this node wins meanwhile', 'leads:5:40 w1 lead answer:n1:200', '- to:n1 503 -'",
+        // The link to the leader is gone too: 503, and after a while another try.
+        "'nothing heard of the leader any more', 'leads:5:0 w1 +5 w1', '- 421 - 503'",
+    )
+    fun `where a worker is sent`(name: String, steps: String, expected: String) {
+        assertEquals(expected, steps.split(' ').joinToString(" ") { step(it) }, name)
+    }
+
+    @Test
+    fun `no more reports wait for an answer than the bound, the rest is told at once`() {
+        leads(5, 40)
+        val answers = (1..1000).map { step("w$it") }
+        val passedOn = answers.count { it == "to:n1" }
+        assertTrue(passedOn in 16..400 && passedOn <= ctx.settings.maxConnections / 4, "$passedOn wait")
+        assertEquals(1000 - passedOn, answers.count { it == "421" || it == "503" })
+    }
+}
