--- a/src/main/kotlin/plankwall/cli/LabCommand.kt
+++ b/src/main/kotlin/plankwall/cli/LabCommand.kt
@@ -35,7 +35,7 @@
         results.forEach { r -> r.broken.forEach { println("day ${r.seed}: $it") } }
         println("nodes   days  broken  killed by lease  of these avoidable  leads a day  served after p50  p90  p99  max (s)")
         for ((n, group) in results.groupBy { it.nodes }.toSortedMap()) {
-            val served = Histogram(HIGHEST_MS, 3)
+            val served = Histogram(group.first().servedMs)
             group.forEach { served.add(it.servedMs) }
             println(
                 "%5d %6d %7d %16d %19d %12.1f %17.1f %4.1f %4.1f %4.1f".format(
@@ -48,8 +48,4 @@
     }
 
     private fun Histogram.s(percentile: Double) = getValueAtPercentile(percentile) / 1000.0
-
-    private companion object {
-        const val HIGHEST_MS = 600_000L
-    }
 }
--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -178,14 +178,15 @@
             if (reach.onlyThroughOthers(m)) continue
             val orders = desk.urgent(m) ?: continue
             m.token = maxOf(m.token, store.lastRevision)
-            ctx.out.add(Effect.WorkerPost(m.id, m.address, WorkerCodec.commands(tokenFor(m.id), m.session, orders)))
+            post(m, m.session, orders)
         }
     }
 
     /** Machines whose reports come through others are tried with a command that orders nothing. */
-    private fun probe() = reach.toProbe().forEach { m ->
-        ctx.out.add(Effect.WorkerPost(m.id, m.address, WorkerCodec.commands(tokenFor(m.id), m.session, emptyList())))
-    }
+    private fun probe() = reach.toProbe().forEach { post(it, it.session, emptyList()) }
+
+    private fun post(m: Machine, session: Long, orders: List<Order>) =
+        ctx.out.add(Effect.WorkerPost(m.id, m.address, WorkerCodec.commands(tokenFor(m.id), session, orders)))
 
     fun zones(): List<ZoneReach> = reach.zones()
 
@@ -200,7 +201,7 @@
             m.lastAnnounced = ctx.now
             room--
             val session = maxOf(m.session, m.announceSession, m.placements.values.firstOrNull()?.session ?: 1L)
-            ctx.out.add(Effect.WorkerPost(m.id, m.address, WorkerCodec.commands(tokenFor(m.id), session, emptyList())))
+            post(m, session, emptyList())
         }
     }
 
--- a/src/main/kotlin/plankwall/core/lead/Leadership.kt
+++ b/src/main/kotlin/plankwall/core/lead/Leadership.kt
@@ -186,7 +186,7 @@
 
     /** Steps down for the sake of workers that can't come here, and names who is reached by most of them. */
     fun yieldForWorkers(why: String) {
-        successor = succession.best()
+        successor = succession.best()?.node
         succession.lostWorkers()
         yield("$why; next had better be ${successor ?: "anybody else"}", dropLease = true)
         // Told before the key is found free, or the first to look would take it.
--- a/src/main/kotlin/plankwall/core/links/LinkPicture.kt
+++ b/src/main/kotlin/plankwall/core/links/LinkPicture.kt
@@ -16,7 +16,7 @@
  * has had from us: it was made after we sent that one, which bounds its age by our own clock alone.
  */
 class LinkPicture(private val ctx: Context) {
-    private class Heard(var status: PeerStatus, var at: Double, var provenAt: Double)
+    private class Heard(val status: PeerStatus, val at: Double, val provenAt: Double)
 
     private val peers = HashMap<String, Heard>()
     private val storeOk = DoubleArray(StoreUse.entries.size) { Double.NaN }
@@ -91,7 +91,7 @@
     }
 
     fun storeAnswered(result: StateResult) {
-        if (result == StateResult.Refused || result == StateResult.Unknown) {
+        if (isMiss(result)) {
             storeMisses++
         } else {
             storeMisses = 0
@@ -100,10 +100,11 @@
     }
 
     private fun noteState(op: StateOp, result: StateResult) {
-        if (result == StateResult.Refused || result == StateResult.Unknown) return
-        storeOk[useOf(op).ordinal] = ctx.now
+        if (!isMiss(result)) storeOk[useOf(op).ordinal] = ctx.now
     }
 
+    private fun isMiss(result: StateResult): Boolean = result == StateResult.Refused || result == StateResult.Unknown
+
     private fun useOf(op: StateOp): StoreUse = when (op) {
         is StateOp.Get, is StateOp.Range, is StateOp.Changes -> StoreUse.READ
         is StateOp.Txn, is StateOp.Grant, is StateOp.Drop -> StoreUse.WRITE
--- a/src/main/kotlin/plankwall/core/links/Succession.kt
+++ b/src/main/kotlin/plankwall/core/links/Succession.kt
@@ -46,13 +46,13 @@
             able.isEmpty() || chosen == ctx.settings.node -> 0.0
             chosen != null && able.any { it.node == chosen } -> STAND_BACK_S
             mine == 0 && ctx.now - lostWorkersAt < ctx.settings.workers.leaseS -> STAND_BACK_S
-            mine == 0 && able.any { (it.links?.turnUps ?: 0) > 0 } -> STAND_BACK_S / 2
+            mine == 0 && able.any { it.turnUps > 0 } -> STAND_BACK_S / 2
             else -> 0.0
         }
     }
 
     /** Whom to name when this node gives up the lead: it has the store, and most workers turn up there. */
-    fun best(): String? = picture.fresh().filter { it.stateReachable && (it.links?.turnUps ?: 0) > 0 }.maxByOrNull { it.links?.turnUps ?: 0 }?.node
+    fun best(): PeerStatus? = picture.fresh().filter { it.stateReachable && it.turnUps > 0 }.maxByOrNull { it.turnUps }
 
     private companion object {
         /** Two polls of the leader's key by a node that does not wait. */
--- a/src/main/kotlin/plankwall/core/relay/HandOver.kt
+++ b/src/main/kotlin/plankwall/core/relay/HandOver.kt
@@ -47,8 +47,8 @@
         }
         if (mostlyThroughSince.isNaN()) mostlyThroughSince = ctx.now
         if (ctx.now - mostlyThroughSince < times.leaseS * DISTANT_LEASES) return
-        val best = leadership.succession.best()?.let { leadership.picture.word(it) } ?: return
-        if ((best.links?.turnUps ?: 0) * 2 <= known) return
+        val best = leadership.succession.best() ?: return
+        if (best.turnUps * 2 <= known) return
         leadership.yieldForWorkers("$through of $known machines report through others for ${(ctx.now - mostlyThroughSince).toInt()} s, most at ${best.node}")
     }
 
--- a/src/main/kotlin/plankwall/lab/LinkDay.kt
+++ b/src/main/kotlin/plankwall/lab/LinkDay.kt
@@ -10,7 +10,7 @@
  * A day of link troubles drawn by [seed], at a site of [nodes] nodes and some [machines] machines, nearly all of them at work on
  * replicas of live services.
  */
-class LinkDay(private val seed: Long, private val nodes: Int, private val machines: Int, private val troubles: List<LinkTrouble>? = null) {
+class LinkDay(private val seed: Long, private val nodes: Int, private val machines: Int) {
     /**
      * [leaseDeaths]: tasks killed by their worker as its lease ran out; [avoidable]: of these, where the worker did reach a node,
      * after its last answer and within its lease, that led or could reach one that did. [servedMs]: from the start of each trouble to
@@ -26,14 +26,12 @@
         val leads: Int,
         val starts: Int,
         val servedMs: Histogram,
-        val worstGapMs: Long,
     )
 
     private val log = LoggerFactory.getLogger("lab")
     private val couldServe = HashMap<String, Double>()
     private val served = Histogram(HIGHEST_MS, 3)
     private val lastServed = HashMap<String, Double>()
-    private var worstGapMs = 0L
     private var avoidable = 0
     private var leads = 0
 
@@ -41,7 +39,7 @@
         val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
         val world = World(seed, nodes)
         world.cloud.capacity = machines + machines / 5
-        val drawn = troubles ?: LinkTrouble.draw(random, nodes, endS - 30.0)
+        val drawn = LinkTrouble.draw(random, nodes, endS - 30.0)
         work(world)
         drawn.forEach { it.schedule(world) }
         drawn.forEach { t -> world.clock.after(t.at) { since(world, world.clock.now) } }
@@ -62,7 +60,7 @@
             if (now != null) leader = now
         }
         world.clock.runUntil(endS)
-        return Result(seed, nodes, drawn, world.checker.broken.toList(), world.leaseDeaths, avoidable, leads, world.checker.starts, served, worstGapMs)
+        return Result(seed, nodes, drawn, world.checker.broken.toList(), world.leaseDeaths, avoidable, leads, world.checker.starts, served)
     }
 
     private fun work(world: World) {
@@ -83,7 +81,7 @@
 
     private fun heard(worker: String, now: Double) {
         for ((at, left) in waitingSince) if (left.remove(worker)) served.recordValue(((now - at) * 1000).toLong().coerceIn(0, HIGHEST_MS - 1))
-        lastServed.put(worker, now)?.let { worstGapMs = maxOf(worstGapMs, ((now - it) * 1000).toLong()) }
+        lastServed[worker] = now
     }
 
     private fun couldServe(world: World, worker: SimWorker, node: World.Node): Boolean =
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -210,12 +210,7 @@
         }
 
         private fun cloudCall(e: Effect.CloudCall, mine: Int) {
-            var open = true
-            fun answer(result: CloudResult) {
-                if (!open || life != mine) return
-                open = false
-                feed(Input.CloudReply(e.call, result))
-            }
+            val answer = once<CloudResult>(mine) { Input.CloudReply(e.call, it) }
             if (wiring.cuts > 0) clock.after(CLOUD_PATIENCE_S) { answer(CloudResult.Trouble) }
             wiring.carry(name, "cloud", delayS = 0.2, refused = { answer(CloudResult.Trouble) }) {
                 val result = cloud.run(e.op)
@@ -225,14 +220,19 @@
             }
         }
 
-        /** One answer for each call: what comes after the caller has given up is heard by nobody. */
-        private fun overWire(e: Effect.StateCall, mine: Int) {
+        /** One answer for each call: what comes after the caller has given up, or in another life, is heard by nobody. */
+        private fun <R> once(mine: Int, input: (R) -> Input): (R) -> Unit {
             var open = true
-            fun answer(result: StateResult) {
-                if (!open || life != mine) return
-                open = false
-                feed(Input.StateReply(e.call, result))
+            return { result ->
+                if (open && life == mine) {
+                    open = false
+                    feed(input(result))
+                }
             }
+        }
+
+        private fun overWire(e: Effect.StateCall, mine: Int) {
+            val answer = once<StateResult>(mine) { Input.StateReply(e.call, it) }
             if (wiring.cuts > 0) clock.after((e.op as? StateOp.Watch)?.let { it.waitMs / 1000.0 + 4.0 } ?: 1.5) { answer(StateResult.Unknown) }
             wiring.carry(name, "state", refused = { answer(StateResult.Refused) }) {
                 state.run(e.op) { result ->
--- a/src/main/kotlin/plankwall/wire/PeerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/PeerCodec.kt
@@ -27,7 +27,7 @@
         val body = Buffer()
         body.writeByte(STATUS).name(s.node)
         body.writeLong(s.incarnation).writeLong(s.epochSeen).writeLong(s.resignedEpoch)
-        body.writeByte(if (s.leading) 1 else 0).writeByte(if (s.stateReachable) 1 else 0).writeInt(s.strayWorkers)
+        body.flag(s.leading).flag(s.stateReachable).writeInt(s.strayWorkers)
         // Frames grow at the end only: the first version reads up to here and ignores the rest.
         body.writeInt(s.level)
         // The second one up to here.
@@ -60,8 +60,8 @@
         val incarnation = b.readLong()
         val epochSeen = b.readLong()
         val resigned = b.readLong()
-        val leading = b.readByte().toInt() == 1
-        val reachable = b.readByte().toInt() == 1
+        val leading = b.readFlag()
+        val reachable = b.readFlag()
         val strays = b.readInt()
         val level = if (b.exhausted()) FIRST_LEVEL else b.readInt()
         val links = if (b.exhausted()) null else LinkCodec.read(b)
--- a/src/main/kotlin/plankwall/wire/PeerMessages.kt
+++ b/src/main/kotlin/plankwall/wire/PeerMessages.kt
@@ -23,6 +23,9 @@
     val links: LinkReport? = null,
 ) : PeerMessage {
     override val speaker: String get() = node
+
+    /** Workers that turned up there lately; 0 from a version that does not tell. */
+    val turnUps: Int get() = links?.turnUps ?: 0
 }
 
 data class JobProgress(val id: String, val done: Int, val running: Int)
