--- a/src/main/kotlin/plankwall/core/jobs/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Jobs.kt
@@ -89,7 +89,14 @@
  * All that decides whether a task fits somewhere, its job's other tasks aside; the priority because it decides which
  * reserved room is open to it.
  */
-data class FitKey(val need: Resources, val types: List<String>?, val zone: String?, val spot: Boolean, val priority: Priority)
+data class FitKey(
+    val need: Resources,
+    val types: List<String>?,
+    val zone: String?,
+    val spot: Boolean,
+    val priority: Priority,
+    val spareTime: Boolean,
+)
 
 class Job(
     val ix: JobIx,
@@ -99,6 +106,7 @@
     val pageSize: Int,
     val submittedMs: Long,
     val learnedAt: Double,
+    private val expected: Boolean = true,
 ) {
     /** The version of the job's record, guarded by every write about it, so that no start follows a withdrawal. */
     var version = 0L
@@ -119,6 +127,20 @@
     var readyMs = submittedMs
     var readyAt = learnedAt
 
+    /** Another job waits for it. */
+    var needed = false
+        set(value) {
+            field = value
+            fit = fitFor(priority)
+        }
+
+    /**
+     * Nobody said by when it should start or be done, no guarantee covers it and no other job waits for it: it takes what is left.
+     * It goes last among its equals, keeps no ordinary machine from being returned, and is rented for only by the way.
+     */
+    val spareTime: Boolean
+        get() = !expected && !needed && spec.shape != Shape.SERVICE && spec.deadlineS == null && dueMs == Long.MAX_VALUE && spec.dependencies.isEmpty()
+
     /** Rises in the order in which jobs became demand. */
     var demandIx = NO_DEMAND
 
@@ -145,8 +167,24 @@
     /** Somebody waits for what is to be written: a task to start, or the user of a withdrawn job. */
     var urgent = false
     var dirtySince = 0.0
+
+    /** Machines on which a task of it failed, and that are not known to be faulty themselves. */
     val failedOn = HashSet<Int>()
-    var failures = 0
+
+    /** A task of it came to its end, or ran for long where others failed at once: whatever fails from now on, the job does not. */
+    var sound = false
+
+    /** The longest, in seconds, that a task of it ran before it failed. */
+    var longestFailS = 0.0
+
+    /** Tries that failed in a row since it fell under suspicion. */
+    var failedProbes = 0
+
+    /**
+     * It failed on more than one machine and ran well nowhere: likely submitted with a mistake. It is tried again one task at a
+     * time, ever more rarely; until it runs well it rents nothing, preempts nobody, and says nothing against a machine.
+     */
+    val doubtful: Boolean get() = !sound && failedOn.size >= 2
 
     /** Fits into its team's guarantee together with the team's earlier unfinished jobs. */
     var guaranteed = false
@@ -159,7 +197,7 @@
     var fit = fitFor(spec.priority)
         private set
 
-    private fun fitFor(priority: Priority) = FitKey(spec.need, spec.types, spec.zone, spec.spot, priority)
+    private fun fitFor(priority: Priority) = FitKey(spec.need, spec.types, spec.zone, spec.spot, priority, spareTime)
 
     /** The zone in which room for a gang is being gathered, and since when. */
     var gatherZone: String? = null
--- a/src/main/kotlin/plankwall/core/jobs/Pipelines.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Pipelines.kt
@@ -32,6 +32,7 @@
     fun learned(job: Job) {
         val id = job.spec.id
         missing.remove(id)
+        if (graph.dependentsOf(id).isNotEmpty()) job.needed = true
         val names = job.spec.dependencies
         pull(job)
         if (names.isEmpty()) {
@@ -39,6 +40,7 @@
             return
         }
         spread(id, graph.add(id, names))
+        names.mapNotNull(find).forEach { it.needed = true }
         names.filter { find(it) == null }.forEach { missing[it] = ctx.now }
         raiseNeeded(job)
     }
--- a/src/main/kotlin/plankwall/core/placing/Placer.kt
+++ b/src/main/kotlin/plankwall/core/placing/Placer.kt
@@ -62,7 +62,7 @@
             if (job.waiting.isEmpty()) continue
             left.add(job)
             if (warm.holds(job)) continue
-            if (preempting && budget > 0) preemptor.makeRoom(job, usable)
+            if (preempting && budget > 0 && !job.doubtful) preemptor.makeRoom(job, usable)
         }
         unplaced = left
     }
@@ -70,7 +70,8 @@
     private fun pending(): List<Job> = book.live
         .filter { it.ready && !it.withdrawn && it.waiting.isNotEmpty() && it.backoffUntil <= ctx.now && it.version > 0 }
         .sortedWith(
-            compareByDescending<Job> { it.guaranteed }.thenByDescending { it.priority }.thenByDescending { pressing(it) }.thenBy { it.submittedMs },
+            compareByDescending<Job> { it.guaranteed }.thenByDescending { it.priority }.thenBy { it.spareTime }
+                .thenByDescending { pressing(it) }.thenBy { it.submittedMs },
         )
 
     /** A stage that must start by now, going by the deadline of the job that its user waits for. */
@@ -101,11 +102,13 @@
         m.noticeAt == Machine.NEVER && m.strangers == 0 && m.blockedUntil <= ctx.now
 
     private fun placeTasks(job: Job, roomy: List<Machine>, usable: List<Machine>, full: HashSet<FitKey>, budget: Int): Int {
-        if (job.isGang && job.placements.isNotEmpty()) return 0
+        if ((job.isGang || job.doubtful) && job.placements.isNotEmpty()) return 0
         if (room.reserved(job) == 0 && job.fit in full) return 0
         var placed = 0
         var held = 0
-        while (placed < budget && job.waiting.size > held) {
+        // One that fails wherever it runs is tried with one task at a time.
+        val most = if (job.doubtful) 1 else budget
+        while (placed < most && job.waiting.size > held) {
             if (!book.withinLimit(job.team, job.spec.need)) break
             val zones = ZoneRule(job)
             val m = room.best(job, roomy, zones)
--- a/src/main/kotlin/plankwall/core/placing/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/placing/Preemptor.kt
@@ -119,7 +119,7 @@
         }
         m.reservations.forEach { free -= it.job.spec.need }
         if (candidates == null) return if (job.spec.need.fitsIn(free)) emptyList() else null
-        candidates.sortWith(compareBy<Placement> { it.job.priority }.thenBy { lossOf(it) })
+        candidates.sortWith(compareBy<Placement> { it.job.priority }.thenByDescending { it.job.spareTime }.thenBy { lossOf(it) })
         val victims = ArrayList<Placement>()
         for (p in candidates) {
             if (job.spec.need.fitsIn(free)) break
@@ -140,6 +140,8 @@
 
     private fun beyondGuarantee(team: TeamIx): Boolean {
         val t = ctx.settings.teams[team.value]
+        // Whatever a team without a guarantee runs is beyond it: guests once kept a guarantee waiting.
+        if (!t.hasGuarantee) return true
         val used = book.used(team)
         return (t.gpus > 0 && used.gpus > t.gpus) || (t.cpus > 0 && used.cpus > t.cpus)
     }
--- a/src/main/kotlin/plankwall/core/placing/Room.kt
+++ b/src/main/kotlin/plankwall/core/placing/Room.kt
@@ -46,7 +46,14 @@
     }
 
     fun suits(job: Job, m: Machine, zones: ZoneRule): Boolean =
-        Placer.allowed(job.spec, m) && zones.allows(m) && m.ix.value !in job.failedOn
+        Placer.allowed(job.spec, m) && zones.allows(m) && m.ix.value !in job.failedOn && !(job.spareTime && wouldStayFor(job, m))
+
+    /**
+     * Whether an ordinary machine could soon go back but for a spare-time task put there: none of its work is to stay. Spot machines
+     * cost a third, and beside replicas the machine stays anyway; work that may not use spot machines has no other place.
+     */
+    private fun wouldStayFor(job: Job, m: Machine): Boolean =
+        job.spec.spot && m.group?.spot == false && (m.surplus || m.lastingShare == 0.0)
 
     fun best(job: Job, candidates: List<Machine>, zones: ZoneRule): Machine? {
         var found: Machine? = null
--- a/src/main/kotlin/plankwall/core/rental/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/rental/Estimator.kt
@@ -20,6 +20,8 @@
  * cheapest.
  */
 class Estimator(private val ctx: Context, private val book: JobBook, private val catalog: Catalog) {
+    private val turnover = Turnover(ctx, catalog)
+
     private open class Bin(val group: GroupKey, var free: Resources) {
         open fun freeFor(job: Job): Resources = free
         open val freeNow: Resources get() = free
@@ -55,7 +57,8 @@
 
     /**
      * Machines to rent, by group. [lost]: replicas to be replaced beside what waits, though nothing proves them gone yet.
-     * [mayExpandForLive]: where a live service may have machines when no group that [mayExpand] allows would do.
+     * [mayExpandForLive]: where a live service may have machines when no group that [mayExpand] allows would do. [spare]: what
+     * may be rented for work that nobody waits for.
      */
     fun estimate(
         running: List<Machine>,
@@ -66,6 +69,7 @@
         growth: Growth,
         lost: Map<Job, Set<Placement>> = emptyMap(),
         mayExpandForLive: (GroupKey) -> Boolean = mayExpand,
+        spare: SpareTimeRentals = SpareTimeRentals.NONE,
         owned: (zone: String) -> Int,
     ): Map<GroupKey, Int> {
         val bins = ArrayList<Bin>()
@@ -81,7 +85,7 @@
             if (gone.isNotEmpty()) planned.merge(job.team.value, Resources.NONE - job.spec.need * gone.size, Resources::plus)
             val zones = ZoneRule(job, gone)
             val zone = job.gatherZone?.takeIf { z -> catalog.types.any { t -> mayExpand(GroupKey(t.name, z, false)) } }
-            var waiting = waitingOf(job) + gone.size
+            var waiting = turnover.slots(job, waitingOf(job)) + gone.size
             // All tasks of a job ask for the same: a bin that had no room for one has none for the next.
             var at = 0
             while (waiting-- > 0 && considered++ < MAX_TASKS) {
@@ -90,7 +94,11 @@
                 if (at == bins.size) {
                     fun cheapestOf(allowed: (GroupKey) -> Boolean) =
                         cheapest(job, zones, zone, waiting + 1, allowed) { z -> owned(z) + (ordered[z] ?: 0) }
-                    val group = cheapestOf(mayExpand) ?: (if (job.spec.shape == Shape.SERVICE) cheapestOf(mayExpandForLive) else null) ?: break
+                    val group = when {
+                        job.spareTime -> if (spare.left-- > 0) cheapestOf { mayExpand(it) && spare.allows(job, it) } else null
+                        job.spec.shape == Shape.SERVICE -> cheapestOf(mayExpand) ?: cheapestOf(mayExpandForLive)
+                        else -> cheapestOf(mayExpand)
+                    } ?: break
                     bins.add(Bin(group, catalog[group.type]?.capacity ?: Resources.NONE))
                     wanted.merge(group, 1, Int::plus)
                     ordered.merge(group.zone, 1, Int::plus)
--- a/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -137,14 +137,18 @@
         val arriving = arrivals.values.filter { mayBeCountedOn(it) }.map { it.group } +
             rentals.values.flatMap { r -> List(r.stored.count) { r.stored.group } }
         val lost = outlook.endangered()
-        val waiting = (lost.keys + placer.unplaced.filter { placer.unreserved(it) > 0 }).filter(serves)
+        val waiting = (lost.keys + placer.unplaced.filter { placer.unreserved(it) > 0 && !it.doubtful }).filter(serves)
+        // Where the cloud had none lately, what comes free there is left to those who have aims to meet.
+        val spare = SpareTimeRentals(SpareTimeRentals.leftAt(running.size, arriving.size)) { ctx.now > (noCapacityUntil[it] ?: 0.0) + leftAloneS(catalog) }
         val owned = fleet.machines.filter { !it.returning }.groupingBy { it.group?.zone }.eachCount()
         val wanted = Estimator(ctx, book, catalog).estimate(
-            running, waiting, placer::unreserved, arriving, ::mayExpand, growth, lost, ::mayExpandForLive,
+            running, waiting, placer::unreserved, arriving, ::mayExpand, growth, lost, ::mayExpandForLive, spare,
         ) { zone -> owned[zone] ?: 0 }
         wanted.forEach { (group, count) -> rent(group, count, waiting.size) }
     }
 
+    private fun leftAloneS(catalog: Catalog): Double = (catalog.types.maxOfOrNull { it.bootS } ?: 0.0) * SPARE_TIME_WAITS_BOOTS
+
     private fun mayExpand(key: GroupKey): Boolean = isOpen(key) && registry.group(key).healthy
 
     private fun mayExpandForLive(key: GroupKey): Boolean = isOpen(key) && !registry.group(key).startsFail
@@ -238,6 +242,6 @@
         const val NO_CAPACITY_S = 20.0
         const val MAX_RENTALS = 20
         const val MAX_PER_RENTAL = 50
-
+        const val SPARE_TIME_WAITS_BOOTS = 3.0
     }
 }
--- a/src/main/kotlin/plankwall/core/step/Context.kt
+++ b/src/main/kotlin/plankwall/core/step/Context.kt
@@ -1,5 +1,6 @@
 package plankwall.core.step
 
+import plankwall.model.Aims
 import plankwall.model.Settings
 import plankwall.model.SiteNames
 import plankwall.model.Tuning
@@ -123,6 +124,7 @@
 ) {
     val time = Time()
     val out = Outbox()
+    val aims = Aims(settings.objectives)
     val names = SiteNames(settings.teams.map { it.name })
 
     private val timers = PriorityQueue<Timer>(compareBy { it.at })
--- a/src/main/kotlin/plankwall/core/workers/WorkerDesk.kt
+++ b/src/main/kotlin/plankwall/core/workers/WorkerDesk.kt
@@ -2,7 +2,6 @@
 
 import org.slf4j.LoggerFactory
 import plankwall.core.jobs.Fleet
-import plankwall.core.jobs.Job
 import plankwall.core.jobs.JobBook
 import plankwall.core.jobs.Machine
 import plankwall.core.jobs.Placement
@@ -26,6 +25,7 @@
     private val fleet: Fleet,
 ) {
     private val log = LoggerFactory.getLogger("workers")
+    private val evidence = FaultEvidence(ctx, book, fleet)
 
     /** The orders for the answer to [r], or null if the report is an old one that must change nothing. */
     fun checkIn(r: Report): List<Order>? {
@@ -143,6 +143,7 @@
             if (p.stage != t.stage) m.noteImage(image, p.job.spec.imageGb, ctx.now)
         }
         p.stage = t.stage
+        if (t.stage == TaskStage.RUNNING) evidence.runs(p)
     }
 
     /**
@@ -168,11 +169,14 @@
         val job = p.job
         val m = p.machine
         if (t.cause == ExitCause.DONE) {
-            m.failedJobs.clear()
+            evidence.succeeded(p)
             book.complete(job, p.task)
         }
         when (t.cause) {
-            ExitCause.ERROR -> blame(m, job)
+            ExitCause.ERROR -> {
+                if (p.runningSince > 0.0) job.longestFailS = maxOf(job.longestFailS, ctx.now - p.runningSince)
+                evidence.failed(p)
+            }
             ExitCause.NO_ROOM, ExitCause.BUSY -> m.blockedUntil = ctx.now + 5.0
             ExitCause.UNKNOWN -> job.backoffUntil = ctx.now + 2.0
             else -> Unit
@@ -180,27 +184,6 @@
         book.release(p, "reported ended: ${t.cause}")
     }
 
-    /**
-     * A task that fails may have a faulty machine or a faulty job. A machine on which two different jobs failed with
-     * nothing done in between is the faulty one; a job that failed on several machines waits ever longer.
-     */
-    private fun blame(m: Machine, job: Job) {
-        job.failures++
-        job.failedOn.add(m.ix.value)
-        m.failedJobs.add(job.ix.value)
-        val distinct = job.failedOn.size
-        if (distinct >= 3) {
-            val pause = minOf(120.0, 5.0 * (1 shl minOf(distinct, 6)))
-            job.backoffUntil = ctx.now + pause
-            log.info("job {} failed on {} machines: waits {} s", job.spec.id, distinct, pause)
-        }
-        val suspects = m.failedJobs.count { ix -> book.live.any { it.ix.value == ix && it.failedOn.size < 3 } }
-        if (!m.faulty && (suspects >= 2 || (suspects >= 1 && job.failures >= 2 && distinct == 1))) {
-            m.faulty = true
-            log.info("machine {} counted as faulty: {} jobs failed on it", m.id, m.failedJobs.size)
-        }
-    }
-
     /**
      * Placements that a check-in does not show. One report is in flight at a time, so every earlier answer has been
      * taken or dropped; and since the worker has seen our token, no older leader's answer can follow.
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -49,6 +49,7 @@
         HttpServer(scope, selector, connections, ::handle).start(settings.front)
         peers.listen(settings.internal)
         log.info("{} serves on {}, peers on {}", settings.node, settings.front, settings.internal)
+        log.info("aims are stated for {}; other classes without a guarantee take what is left", settings.objectives.mapNotNull { it.jobClass }.toSet())
         while (scope.isActive) {
             feed(Input.Tick)
             delay(TICK_MS)
