Guests are packed last, and get ordinary machines only once overlooked

What waited of guests was packed into all room there was, so renting ahead for guaranteed teams saw none and went on.

--- a/src/main/kotlin/plankwall/core/jobs/Jobs.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Jobs.kt
@@ -96,6 +96,7 @@
     val spot: Boolean,
     val priority: Priority,
     val spareTime: Boolean,
+    val overlooked: Boolean,
 )
 
 class Job(
@@ -141,6 +142,13 @@
     val spareTime: Boolean
         get() = !expected && !needed && spec.shape != Shape.SERVICE && spec.deadlineS == null && dueMs == Long.MAX_VALUE && spec.dependencies.isEmpty()
 
+    /** Spare-time work that has waited for long: where what is left never comes, it starves, so it may cost more from now on. */
+    var overlooked = false
+        set(value) {
+            field = value
+            fit = fitFor(priority)
+        }
+
     /** Rises in the order in which jobs became demand. */
     var demandIx = NO_DEMAND
 
@@ -197,7 +205,7 @@
     var fit = fitFor(spec.priority)
         private set
 
-    private fun fitFor(priority: Priority) = FitKey(spec.need, spec.types, spec.zone, spec.spot, priority, spareTime)
+    private fun fitFor(priority: Priority) = FitKey(spec.need, spec.types, spec.zone, spec.spot, priority, spareTime, overlooked)
 
     /** The zone in which room for a gang is being gathered, and since when. */
     var gatherZone: String? = null
--- a/src/main/kotlin/plankwall/core/placing/Room.kt
+++ b/src/main/kotlin/plankwall/core/placing/Room.kt
@@ -53,7 +53,7 @@
      * cost a third, and beside replicas the machine stays anyway; work that may not use spot machines has no other place.
      */
     private fun wouldStayFor(job: Job, m: Machine): Boolean =
-        job.spec.spot && m.group?.spot == false && (m.surplus || m.lastingShare == 0.0)
+        job.spec.spot && m.group?.spot == false && (m.surplus || (m.lastingShare == 0.0 && !job.overlooked))
 
     fun best(job: Job, candidates: List<Machine>, zones: ZoneRule): Machine? {
         var found: Machine? = null
--- a/src/main/kotlin/plankwall/core/rental/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/rental/Estimator.kt
@@ -79,7 +79,8 @@
         val planned = HashMap<Int, Resources>()
         val ordered = HashMap<String, Int>()
         var considered = 0
-        for (job in unplaced) {
+
+        fun pack(job: Job) {
             val gone = lost[job].orEmpty()
             // They still count as used, in the team's limit too; their replacements take their place, not another.
             if (gone.isNotEmpty()) planned.merge(job.team.value, Resources.NONE - job.spec.need * gone.size, Resources::plus)
@@ -90,12 +91,12 @@
             var at = 0
             while (waiting-- > 0 && considered++ < MAX_TASKS) {
                 if (!withinLimit(job, planned)) break
-                while (at < bins.size && !((zone == null || bins[at].group.zone == zone) && fits(job, bins[at], zones))) at++
+                while (at < bins.size && !((zone == null || bins[at].group.zone == zone) && fits(job, bins[at], zones) && spare.mayFill(job, bins[at].group))) at++
                 if (at == bins.size) {
                     fun cheapestOf(allowed: (GroupKey) -> Boolean) =
                         cheapest(job, zones, zone, waiting + 1, allowed) { z -> owned(z) + (ordered[z] ?: 0) }
                     val group = when {
-                        job.spareTime -> if (spare.left-- > 0) cheapestOf { mayExpand(it) && spare.allows(job, it) } else null
+                        job.spareTime -> spare.take { cheapestOf { mayExpand(it) && spare.mayRent(job, it) } }
                         job.spec.shape == Shape.SERVICE -> cheapestOf(mayExpand) ?: cheapestOf(mayExpandForLive)
                         else -> cheapestOf(mayExpand)
                     } ?: break
@@ -109,7 +110,12 @@
                 planned.merge(job.team.value, job.spec.need, Resources::plus)
             }
         }
+
+        val (spareTime, expected) = unplaced.partition { it.spareTime }
+        expected.forEach(::pack)
         ahead(growth, bins, mayExpand, owned).forEach { (group, count) -> wanted.merge(group, count, Int::plus) }
+        // Last, and beside what is kept for what is still to come: it once took that room, and more was rented for ever.
+        spareTime.forEach(::pack)
         return wanted
     }
 
--- a/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -12,6 +12,7 @@
 import plankwall.core.step.Context
 import plankwall.model.Catalog
 import plankwall.model.GroupKey
+import plankwall.model.Resources
 import plankwall.model.Shape
 import plankwall.wire.CloudOp
 import plankwall.wire.CloudResult
@@ -138,8 +139,7 @@
             rentals.values.flatMap { r -> List(r.stored.count) { r.stored.group } }
         val lost = outlook.endangered()
         val waiting = (lost.keys + placer.unplaced.filter { placer.unreserved(it) > 0 && !it.doubtful }).filter(serves)
-        // Where the cloud had none lately, what comes free there is left to those who have aims to meet.
-        val spare = SpareTimeRentals(SpareTimeRentals.leftAt(running.size, arriving.size)) { ctx.now > (noCapacityUntil[it] ?: 0.0) + leftAloneS(catalog) }
+        val spare = spareTime(catalog, running, arriving.size)
         val owned = fleet.machines.filter { !it.returning }.groupingBy { it.group?.zone }.eachCount()
         val wanted = Estimator(ctx, book, catalog).estimate(
             running, waiting, placer::unreserved, arriving, ::mayExpand, growth, lost, ::mayExpandForLive, spare,
@@ -147,7 +147,16 @@
         wanted.forEach { (group, count) -> rent(group, count, waiting.size) }
     }
 
-    private fun leftAloneS(catalog: Catalog): Double = (catalog.types.maxOfOrNull { it.bootS } ?: 0.0) * SPARE_TIME_WAITS_BOOTS
+    private fun spareTime(catalog: Catalog, running: List<Machine>, arriving: Int): SpareTimeRentals {
+        val bootS = catalog.types.maxOfOrNull { it.bootS } ?: 0.0
+        for (job in placer.unplaced) if (job.spareTime && !job.overlooked && ctx.time.wallMs - job.readyMs > bootS * 1000 * OVERLOOKED_BOOTS) job.overlooked = true
+        val taken = running.sumOf { m ->
+            val type = m.type
+            if (type == null) 0.0 else m.placements.values.filter { it.job.spareTime }.fold(Resources.NONE) { sum, p -> sum + p.job.spec.need }.partOf(type.capacity)
+        }
+        // Where the cloud had none lately, what comes free there is left to those who have aims to meet.
+        return SpareTimeRentals(SpareTimeRentals.leftAt(running.size, arriving, taken)) { ctx.now > (noCapacityUntil[it] ?: 0.0) + bootS * LEFT_ALONE_BOOTS }
+    }
 
     private fun mayExpand(key: GroupKey): Boolean = isOpen(key) && registry.group(key).healthy
 
@@ -242,6 +251,7 @@
         const val NO_CAPACITY_S = 20.0
         const val MAX_RENTALS = 20
         const val MAX_PER_RENTAL = 50
-        const val SPARE_TIME_WAITS_BOOTS = 3.0
+        const val OVERLOOKED_BOOTS = 2.0
+        const val LEFT_ALONE_BOOTS = 3.0
     }
 }
--- a/src/main/kotlin/plankwall/core/rental/SpareTimeRentals.kt
+++ b/src/main/kotlin/plankwall/core/rental/SpareTimeRentals.kt
@@ -4,22 +4,28 @@
 import plankwall.model.GroupKey
 
 /**
- * What may be rented for work that nobody said anything about: [left] machines in this round, of groups that [allowed] has nothing
- * against, and spot ones wherever the job may use them. Guests of a quiet hour once filled every machine that the cloud had, most of
- * them at three times the spot price, and the operators' own work waited behind them.
+ * What may be rented in one round for work that nobody said anything about: [left] machines, of groups that [allowed] has nothing
+ * against. Guests of a quiet hour once filled every machine that the cloud had, and the operators' own work waited behind them.
  */
-class SpareTimeRentals(var left: Int, private val allowed: (GroupKey) -> Boolean) {
-    fun allows(job: Job, group: GroupKey): Boolean = (group.spot || !job.spec.spot) && allowed(group)
+class SpareTimeRentals(private var left: Int, private val allowed: (GroupKey) -> Boolean) {
+    /** A machine for it, if any may still be rented. */
+    fun take(choose: () -> GroupKey?): GroupKey? = if (left > 0) choose()?.also { left-- } else null
+
+    fun mayRent(job: Job, group: GroupKey): Boolean = mayFill(job, group) && allowed(group)
+
+    /** Whether room of [group] counts for [job]: until it has waited long, it does without what costs three times as much. */
+    fun mayFill(job: Job, group: GroupKey): Boolean = !job.spareTime || group.spot || !job.spec.spot || job.overlooked
 
     companion object {
         val NONE: SpareTimeRentals get() = SpareTimeRentals(0) { false }
 
         /**
-         * The pace: while little else is under way, a tenth of the fleet at a time. Whoever has aims to meet finds room in the
-         * cloud meanwhile, and what was rented is at work before more is.
+         * The pace: while little else is [arriving], a quarter of the [fleet] at a time, and never more than half of it at work on
+         * such jobs ([taken], in machines). Whoever has aims to meet finds room in the cloud meanwhile.
          */
-        fun leftAt(fleet: Int, arriving: Int): Int = (maxOf(1, fleet / PACE) - arriving).coerceAtLeast(0)
+        fun leftAt(fleet: Int, arriving: Int, taken: Double): Int =
+            minOf(maxOf(1, fleet / PACE) - arriving, fleet / 2 - taken.toInt() - arriving).coerceAtLeast(0)
 
-        private const val PACE = 10
+        private const val PACE = 4
     }
 }
