Groups that boot badly: late boots are not taken for lost ones, and are not rented for without end

Cause, from the log: what is overdue was rented for anew every 40 s while nothing came up for 90 s, and a hundred machines that were about to come were given up. Now two groups of evidence, bounded replacement, longer patience.

--- a/src/main/kotlin/plankwall/core/rental/ClusterStateRegistry.kt
+++ b/src/main/kotlin/plankwall/core/rental/ClusterStateRegistry.kt
@@ -36,7 +36,12 @@
  * The paper's cluster state registry: is the whole in good shape (S1), is each group (S2), what should arrive soon
  * (S3). It only reads; the rental loop acts.
  */
-class ClusterStateRegistry(private val ctx: Context, private val fleet: Fleet, private val outlook: Outlook) {
+class ClusterStateRegistry(
+    private val ctx: Context,
+    private val fleet: Fleet,
+    private val outlook: Outlook,
+    private val patienceS: (GroupKey) -> Double = { ctx.tuning.unregisteredS },
+) {
     var groups: Map<GroupKey, GroupHealth> = emptyMap()
         private set
     val cutZones: Set<String> get() = outlook.cutZones
@@ -72,7 +77,7 @@
         groups = found
     }
 
-    fun isLate(a: Arrival): Boolean = ctx.now - a.rentedAt > ctx.tuning.unregisteredS
+    fun isLate(a: Arrival): Boolean = ctx.now - a.rentedAt > patienceS(a.group)
 
     private fun isExplained(m: Machine, key: GroupKey): Boolean =
         m.returning || m.noticeAt > Machine.NEVER || m.listed == ListedState.FAILED || key.zone in cutZones
--- a/src/main/kotlin/plankwall/core/rental/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/rental/Estimator.kt
@@ -57,7 +57,7 @@
 
     /**
      * Machines to rent, by group. [lost]: replicas to be replaced beside what waits, though nothing proves them gone yet.
-     * [mayExpandForLive]: where a live service may have machines when no group that [mayExpand] allows would do. [spare]: what
+     * [mayExpandTroubled]: where anybody may if there is no such group; [mayExpandForLive]: where a live service may have machines when no group that [mayExpand] allows would do. [spare]: what
      * may be rented for work that nobody waits for.
      */
     fun estimate(
@@ -68,6 +68,7 @@
         mayExpand: (GroupKey) -> Boolean,
         growth: Growth,
         lost: Map<Job, Set<Placement>> = emptyMap(),
+        mayExpandTroubled: (GroupKey) -> Boolean = mayExpand,
         mayExpandForLive: (GroupKey) -> Boolean = mayExpand,
         spare: SpareTimeRentals = SpareTimeRentals.NONE,
         owned: (zone: String) -> Int,
@@ -97,8 +98,8 @@
                         cheapest(job, zones, zone, waiting + 1, allowed) { z -> owned(z) + (ordered[z] ?: 0) }
                     val group = when {
                         job.spareTime -> spare.take { cheapestOf { mayExpand(it) && spare.mayRent(job, it) } }
-                        job.spec.shape == Shape.SERVICE -> cheapestOf(mayExpand) ?: cheapestOf(mayExpandForLive)
-                        else -> cheapestOf(mayExpand)
+                        job.spec.shape == Shape.SERVICE -> cheapestOf(mayExpand) ?: cheapestOf(mayExpandTroubled) ?: cheapestOf(mayExpandForLive)
+                        else -> cheapestOf(mayExpand) ?: cheapestOf(mayExpandTroubled)
                     } ?: break
                     bins.add(Bin(group, catalog[group.type]?.capacity ?: Resources.NONE))
                     wanted.merge(group, 1, Int::plus)
--- a/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -36,7 +36,9 @@
     surelyEmptyAt: (Machine) -> Double,
 ) {
     private val log = LoggerFactory.getLogger("rental")
-    private val registry = ClusterStateRegistry(ctx, fleet, outlook)
+    private val bootTimes = BootTimes()
+    private val bootTrouble = BootTrouble(ctx, bootTimes, startedAt)
+    private val registry = ClusterStateRegistry(ctx, fleet, outlook, bootTrouble::patienceS)
     private val memory = FleetMemory(store)
     private val lastRental = HashMap<GroupKey?, Double>()
     private val returns = Returns(ctx, store, book, fleet, registry, outlook, memory, startedAt, surelyEmptyAt) { lastRental[it] ?: Machine.NEVER }
@@ -54,7 +56,6 @@
      */
     private val owed = GrowthWatch(ctx, startedAt) { ctx.settings.teams[it.team.value].hasGuarantee }
     private val any = GrowthWatch(ctx, startedAt) { true }
-    private val bootTimes = BootTimes()
     private val consolidation = Consolidation(fleet)
     private val rentals = LinkedHashMap<String, Rental>()
     private val arrivals = fleet.arrivals
@@ -96,17 +97,16 @@
         val m = fleet.find(a.machine) ?: return true
         // What an earlier leader rented may have been up long before it reported to this one.
         if (m.registered && a.rentedAt > startedAt) m.type?.let { bootTimes.note(it, m.registeredAt - a.rentedAt) }
+        if (m.registered) bootTrouble.cameUp(a.group)
         // The stored record is written on decisions and may name machines that have come since; work proves that.
         return m.registered || m.placements.isNotEmpty()
     }
 
-    private fun mayBeCountedOn(a: Arrival): Boolean {
-        val type = fleet.catalog?.get(a.group.type) ?: return false
-        return !registry.isLate(a) && ctx.now - a.rentedAt < bootTimes.trustedS(type)
-    }
+    private fun mayBeCountedOn(a: Arrival): Boolean = fleet.catalog?.get(a.group.type) != null && !registry.isLate(a) && bootTrouble.isCounted(a)
 
     private fun round() {
         val catalog = fleet.catalog ?: return
+        bootTrouble.refresh(arrivals.values, catalog)
         registry.refresh(arrivals)
         returns.returnFailed()
         // Right after a take-over nearly all workers that we know of are silent because they are on their way to us.
@@ -142,7 +142,7 @@
         val spare = spareTime(catalog, running, arriving.size)
         val owned = fleet.machines.filter { !it.returning }.groupingBy { it.group?.zone }.eachCount()
         val wanted = Estimator(ctx, book, catalog).estimate(
-            running, waiting, placer::unreserved, arriving, ::mayExpand, growth, lost, ::mayExpandForLive, spare,
+            running, waiting, placer::unreserved, arriving, ::mayExpand, growth, lost, ::mayExpandTroubled, ::mayExpandForLive, spare,
         ) { zone -> owned[zone] ?: 0 }
         wanted.forEach { (group, count) -> rent(group, count, waiting.size) }
     }
@@ -158,7 +158,10 @@
         return SpareTimeRentals(SpareTimeRentals.leftAt(running.size, arriving, taken)) { ctx.now > (noCapacityUntil[it] ?: 0.0) + bootS * LEFT_ALONE_BOOTS }
     }
 
-    private fun mayExpand(key: GroupKey): Boolean = isOpen(key) && registry.group(key).healthy
+    private fun mayExpand(key: GroupKey): Boolean = mayExpandTroubled(key) && key !in bootTrouble.groups
+
+    /** A group that boots badly serves only where no other does. */
+    private fun mayExpandTroubled(key: GroupKey): Boolean = isOpen(key) && registry.group(key).healthy
 
     private fun mayExpandForLive(key: GroupKey): Boolean = isOpen(key) && !registry.group(key).startsFail
 
@@ -182,7 +185,7 @@
     private fun returnUnregistered() {
         val late = fleet.machines.firstOrNull { m ->
             !m.registered && !m.returning && m.placements.isEmpty() &&
-                ctx.now - maxOf(arrivals[m.id]?.rentedAt ?: m.firstSeen, startedAt) > ctx.tuning.unregisteredS
+                ctx.now - maxOf(arrivals[m.id]?.rentedAt ?: m.firstSeen, startedAt) > (m.group?.let { bootTrouble.patienceS(it) } ?: ctx.tuning.unregisteredS)
         } ?: return
         returns.giveBack(late, "never registered")
     }
--- a/src/test/kotlin/plankwall/EstimatorTest.kt
+++ b/src/test/kotlin/plankwall/EstimatorTest.kt
@@ -54,7 +54,7 @@
         val placed = (0 until tasks).map { core.book.place(job, it, if (it < lost) silent else other, it + 1L) }
         val wanted = Estimator(ctx, core.book, World.CATALOG).estimate(
             emptyList(), listOf(job), { it.waiting.size }, emptyList(), { healthy }, Growth.NONE,
-            mapOf(job to placed.take(lost).toSet()), { starts }, owned = { if (it == "a") 0 else 5 },
+            mapOf(job to placed.take(lost).toSet()), mayExpandForLive = { starts }, owned = { if (it == "a") 0 else 5 },
         )
         assertEquals(rented, wanted.values.sum(), name)
     }
