--- a/src/main/kotlin/plankwall/core/jobs/Machines.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Machines.kt
@@ -54,6 +54,15 @@
     /** Tasks on the machine that nobody placed; while there are any, its room is not known. */
     var strangers = 0
     val placements = LinkedHashMap<Long, Placement>()
+
+    /** Tasks that ended here and that its reports still show: an exit is cleared only once its end is stored. */
+    var exitsShown = 0
+
+    /**
+     * Whether its report can take one task more. A report may have 64 KiB: beyond that no node could read it, and the worker
+     * would lose its lease with all that is on it. Hundreds of small tasks of a sweep, as many exits beside them, come near.
+     */
+    val fitsReport: Boolean get() = placements.size + exitsShown < MOST_IN_REPORT
     var used = Resources.NONE
         private set
 
@@ -158,5 +167,8 @@
 
     companion object {
         const val NEVER = -1e12
+
+        /** 64 KiB of entries of some 90 bytes each, the longest names, attempts and causes considered. */
+        private const val MOST_IN_REPORT = 700
     }
 }
--- a/src/main/kotlin/plankwall/core/placing/Room.kt
+++ b/src/main/kotlin/plankwall/core/placing/Room.kt
@@ -46,7 +46,7 @@
     }
 
     fun suits(job: Job, m: Machine, zones: ZoneRule): Boolean =
-        Placer.allowed(job.spec, m) && zones.allows(m) && m.ix.value !in job.failedOn && !(job.spareTime && wouldStayFor(job, m))
+        Placer.allowed(job.spec, m) && zones.allows(m) && m.fitsReport && m.ix.value !in job.failedOn && !(job.spareTime && wouldStayFor(job, m))
 
     /**
      * Whether an ordinary machine could soon go back but for a spare-time task put there: none of its work is to stay. Spot machines
--- a/src/main/kotlin/plankwall/core/workers/WorkerDesk.kt
+++ b/src/main/kotlin/plankwall/core/workers/WorkerDesk.kt
@@ -48,6 +48,7 @@
         val orders = ArrayList<Order>()
         val reported = HashSet<Placement>()
         m.strangers = 0
+        m.exitsShown = r.tasks.count { it.stage == TaskStage.EXITED }
         for (t in r.tasks) examine(m, t, reported, orders, overtaken)
         if (m.confirmed) settleAbsent(m, reported)
         for (p in m.placements.values) {
--- a/src/test/kotlin/plankwall/nights/GuestsTest.kt
+++ b/src/test/kotlin/plankwall/nights/GuestsTest.kt
@@ -98,4 +98,14 @@
         if (awaited) core.learn(World.job(2, after = listOf(1)))
         assertEquals(spare, job.spareTime, name)
     }
+
+    /** Hundreds of tiny tasks on one machine, and as many exits that wait to be stored, come near what a report may hold. */
+    @ParameterizedTest(name = "{0} exits shown: {1} placed")
+    @CsvSource("0, 20", "690, 10", "700, 0")
+    fun `a machine gets no more tasks than its report can show`(exits: Int, placed: Int) {
+        ready("i-000001").exitsShown = exits
+        val job = core.learn(World.job(1, tasks = 20).copy(need = Resources(1, 0, 1)))
+        Placer(ctx, core.book, core.fleet).plan()
+        assertEquals(placed, job.placements.size)
+    }
 }
