A class without an aim is served where nobody else competes

The bound now holds only while work with an aim waits or did within a boot, and a handful may always be rented.

--- a/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -64,6 +64,9 @@
     private var nextRound = 0.0
     private var haltedUntil = 0.0
 
+    /** When work with an aim last found no place at once. */
+    private var contestedAt = Machine.NEVER
+
     init {
         placer.rentsWhere(::mayExpand)
     }
@@ -154,8 +157,9 @@
             val type = m.type
             if (type == null) 0.0 else m.placements.values.filter { it.job.spareTime }.fold(Resources.NONE) { sum, p -> sum + p.job.spec.need }.partOf(type.capacity)
         }
+        if (placer.unplaced.any { !it.spareTime && !it.doubtful }) contestedAt = ctx.now
         // Where the cloud had none lately, what comes free there is left to those who have aims to meet.
-        return SpareTimeRentals(SpareTimeRentals.leftAt(running.size, arriving, taken)) { ctx.now > (noCapacityUntil[it] ?: 0.0) + bootS * LEFT_ALONE_BOOTS }
+        return SpareTimeRentals(SpareTimeRentals.leftAt(running.size, arriving, taken, ctx.now < contestedAt + bootS)) { ctx.now > (noCapacityUntil[it] ?: 0.0) + bootS * LEFT_ALONE_BOOTS }
     }
 
     private fun mayExpand(key: GroupKey): Boolean = mayExpandTroubled(key) && key !in bootTrouble.groups
--- a/src/main/kotlin/plankwall/core/rental/SpareTimeRentals.kt
+++ b/src/main/kotlin/plankwall/core/rental/SpareTimeRentals.kt
@@ -20,12 +20,16 @@
         val NONE: SpareTimeRentals get() = SpareTimeRentals(0) { false }
 
         /**
-         * The pace: while little else is [arriving], a quarter of the [fleet] at a time, and never more than half of it at work on
-         * such jobs ([taken], in machines). Whoever has aims to meet finds room in the cloud meanwhile.
+         * The pace: while little else is [arriving], a quarter of the [fleet] at a time, or a handful. While work with an aim waits, or
+         * did lately ([contested]), such jobs ([taken], in machines) take no more than half of the fleet, so that the others find room
+         * in the cloud. In quiet hours the bound goes: where a class had no aim, four fifths of its jobs once starved beside an idle cloud.
          */
-        fun leftAt(fleet: Int, arriving: Int, taken: Double): Int =
-            minOf(maxOf(1, fleet / PACE) - arriving, fleet / 2 - taken.toInt() - arriving).coerceAtLeast(0)
+        fun leftAt(fleet: Int, arriving: Int, taken: Double, contested: Boolean): Int {
+            val pace = maxOf(HANDFUL, fleet / PACE) - arriving
+            return (if (contested) minOf(pace, maxOf(HANDFUL, fleet / 2) - taken.toInt() - arriving) else pace).coerceAtLeast(0)
+        }
 
         private const val PACE = 4
+        private const val HANDFUL = 4
     }
 }
--- a/src/test/kotlin/plankwall/nights/GuestsTest.kt
+++ b/src/test/kotlin/plankwall/nights/GuestsTest.kt
@@ -1,6 +1,7 @@
 package plankwall.nights
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.jobs.StopCause
@@ -53,10 +54,14 @@
         assertEquals(more, wanted.filterKeys { !it.spot }.values.sum())
     }
 
-    @ParameterizedTest(name = "{0} machines, {1} arriving, {2} taken: {3} more")
-    @CsvSource("100, 0, 0, 25", "100, 20, 0, 5", "100, 30, 0, 0", "100, 0, 40, 10", "100, 0, 60, 0", "0, 0, 0, 0", "3, 0, 0, 1")
-    fun `the pace at which spare time is rented for`(fleet: Int, arriving: Int, taken: Double, left: Int) =
-        assertEquals(left, SpareTimeRentals.leftAt(fleet, arriving, taken))
+    /** On a small day of which only one class had an aim, the bound of half the fleet starved another beside an idle cloud. */
+    @ParameterizedTest(name = "{0} machines, {1} arriving, {2} taken, others wait {3}: {4} more")
+    @CsvSource(
+        "100, 0, 0, true, 25", "100, 20, 0, true, 5", "100, 30, 0, true, 0", "100, 0, 40, true, 10", "100, 0, 60, true, 0",
+        "100, 0, 60, false, 25", "8, 0, 4, true, 0", "8, 0, 4, false, 4", "8, 3, 8, false, 1", "0, 0, 0, true, 4",
+    )
+    fun `the pace at which spare time is rented for`(fleet: Int, arriving: Int, taken: Double, contested: Boolean, left: Int) =
+        assertEquals(left, SpareTimeRentals.leftAt(fleet, arriving, taken, contested))
 
     private fun ready(name: String) = core.machine(name).apply {
         registeredAt = ctx.now
@@ -108,4 +113,14 @@
         Placer(ctx, core.book, core.fleet).plan()
         assertEquals(placed, job.placements.size)
     }
+
+    @Test
+    fun `a class without an aim is served in the end, however little else there is to do`() {
+        val world = World(61, objectives = listOf(Objective("finished", "class", 100.0, 0.9)))
+        for (n in 1..6) world.clock.after(2.0) { world.submit(World.job(n, tasks = 8, runS = 40.0, spot = true).copy(jobClass = "spare", priority = Priority.LOW)) }
+        world.clock.after(10.0) { world.submit(World.job(9, runS = 20.0)) }
+        world.clock.runUntil(200.0)
+        assertEquals(List(6) { "done" }, (1..6).map { world.stageOf("job-%06d".format(it)) })
+        assertEquals(emptyList<String>(), world.checker.broken)
+    }
 }
