Tests: a leader without the store stops answering; the laboratory asks whether cleared ends are stored

A leader that answers without bound was seen by no test nor random night; an end that counts as stored with another page of its job neither.

Change: a test of the grace; at every exit that a worker is told to forget, the world asks whether its end is stored.

--- a/src/main/kotlin/plankwall/lab/SimState.kt
+++ b/src/main/kotlin/plankwall/lab/SimState.kt
@@ -45,6 +45,8 @@
 
     fun value(key: String): Stored? = entries[key]?.value
 
+    fun values(prefix: String): List<Stored> = entries.subMap(prefix, prefix + Char.MAX_VALUE).values.map { it.value }
+
     /** The revision that first wrote [key] and the one that did last; 0: none. */
     fun born(key: String): Long = history.firstOrNull { it.key == key }?.version ?: 0L
 
--- a/src/main/kotlin/plankwall/lab/SimWorker.kt
+++ b/src/main/kotlin/plankwall/lab/SimWorker.kt
@@ -130,7 +130,10 @@
             when (order.get("verb").asText()) {
                 "run" -> if (there == null) start(name, attempt)
                 "stop" -> if (there != null && there.attempt == attempt && there.stage != TaskStage.EXITED) end(name, there, ExitCause.STOPPED)
-                "clear" -> if (there != null && there.attempt == attempt && there.stage == TaskStage.EXITED) tasks.remove(name)
+                "clear" -> if (there != null && there.attempt == attempt && there.stage == TaskStage.EXITED) {
+                    if (there.cause == ExitCause.DONE) world.checkStored(there.spec.id, there.task)
+                    tasks.remove(name)
+                }
             }
         }
     }
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -25,6 +25,9 @@
 import plankwall.model.Tuning
 import plankwall.model.WorkerTimes
 import plankwall.wire.CloudResult
+import plankwall.wire.JobRecord
+import plankwall.wire.Keys
+import plankwall.wire.PageRecord
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
 import plankwall.wire.RelayedAnswer
@@ -268,6 +271,13 @@
 
     fun submitted(id: String): JobSpec? = specs[id]
 
+    /** A worker forgets that a task of [id] is done. If nobody has stored it, the next leader runs the task again. */
+    fun checkStored(id: String, task: Int) {
+        val live = state.value(Keys.job(id)) as? JobRecord ?: return
+        if (live.withdrawnMs > 0 || state.value(Keys.final(id)) != null) return
+        if (state.values(Keys.pages(id)).none { it is PageRecord && it.done[task] }) checker.broken.add("lost_end: $id/$task was cleared and is not stored")
+    }
+
     /** Workers can have the description of a job that somebody else will submit. */
     fun expect(spec: JobSpec) {
         specs.putIfAbsent(spec.id, spec)
--- a/src/test/kotlin/plankwall/nights/BadNightsTest.kt
+++ b/src/test/kotlin/plankwall/nights/BadNightsTest.kt
@@ -1,6 +1,7 @@
 package plankwall.nights
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -9,6 +10,7 @@
 import plankwall.model.Priority
 import plankwall.model.Resources
 import plankwall.model.Shape
+import plankwall.model.Tuning
 
 /** All that the operators met, together and by chance; more of the same outside CI with `lab nights`. */
 class BadNightsTest {
@@ -38,4 +40,21 @@
         assertEquals(0, world.state.writes.beyond, "writes beyond the rate")
         assertEquals(0, world.state.calls.beyond, "calls beyond the rate")
     }
+
+    /**
+     * A leader that lost the store answers workers for a stated while and not a second longer, since a successor reckons with that.
+     * Neither the days above nor any test saw it when the bound was taken away.
+     */
+    @Test
+    fun `a leader without the store stops answering when its grace is over`() {
+        val world = World(78, nodeCount = 1)
+        world.submit(World.job(1, Shape.SERVICE, tasks = 4, priority = Priority.PRODUCTION))
+        var lastServed = 0.0
+        world.onServed = { _, _ -> lastServed = world.clock.now }
+        world.clock.after(40.0) { world.cuts.add("n0-state") }
+        world.clock.runUntil(200.0)
+        val lease = world.settings.workers.leaseS
+        assertTrue(lastServed > 40.0 + lease, "workers are kept for the grace at least, until $lastServed s")
+        assertTrue(lastServed < 40.0 + lease * (Tuning().outageGraceLeases + 1), "answered until $lastServed s")
+    }
 }
