--- /dev/null
+++ b/src/test/kotlin/plankwall/load/PlacingPass.kt
@@ -0,0 +1,44 @@
+package plankwall.load
+
+import org.HdrHistogram.Histogram
+import plankwall.core.placing.Placer
+import plankwall.lab.World
+import plankwall.model.Objective
+import plankwall.model.Priority
+import plankwall.sim.CoreParts
+
+/**
+ * What a placing pass costs where there is no room: 1,000 jobs of 40 tasks wait on full machines. By hand, with the flags of the small
+ * machine: `-XX:TieredStopAtLevel=1 -XX:+UseSerialGC`. Passes on which the backlog is judged anew, one in ten, are told apart.
+ */
+object PlacingPass {
+    private const val JOBS = 1_000
+
+    @JvmStatic
+    fun main(args: Array<String>) {
+        println("machines  cloud     pass p50, p99 (ms)   judging pass p50, p99 (ms)")
+        for (machines in listOf(1_000, 3_000, 10_000)) for (scarce in listOf(false, true)) measure(machines, scarce)
+    }
+
+    private fun measure(machines: Int, scarce: Boolean) {
+        val core = CoreParts(listOf(Objective("wait", "class", 120.0, 0.9), Objective("finished", "class", 300.0, 0.9)))
+        val placer = Placer(core.ctx, core.book, core.fleet).apply { backlog.isScarce = { scarce } }
+        val running = core.learn(World.job(1, tasks = machines * 4, runS = 60.0))
+        for (n in 0 until machines) {
+            val m = core.machine("i-%06d".format(n)).apply { registeredAt = core.ctx.now }
+            repeat(4) { core.book.place(running, n * 4 + it, m, n * 4L + it) }
+        }
+        for (n in 2..JOBS + 1) core.learn(World.job(n, tasks = 40, runS = 30.0 + n % 60, priority = Priority.entries[n % 3]), waitedS = (n % 400).toDouble())
+        val (plain, judging) = List(2) { Histogram(60_000_000, 3) }
+        repeat(400) { round ->
+            core.ctx.time.advance(core.ctx.now + 0.1, core.ctx.time.wallMs + 100)
+            core.fleet.machines.forEach { it.lastHeard = core.ctx.now }
+            val began = System.nanoTime()
+            placer.plan()
+            val tookUs = (System.nanoTime() - began) / 1_000
+            if (round >= 100) (if (round % 10 == 0) judging else plain).recordValue(tookUs)
+        }
+        fun Histogram.ms(p: Double) = getValueAtPercentile(p) / 1000.0
+        println("%8d  %-6s %10.1f %6.1f %18.1f %6.1f".format(machines, if (scarce) "full" else "open", plain.ms(50.0), plain.ms(99.0), judging.ms(50.0), judging.ms(99.0)))
+    }
+}
