Backlog: no cloud is full before its catalogue is known; a preempted gang counts whole

Found on reading the change: with no catalogue yet every group counted as refused, and of a stopped gang one task was taken off its class's room. The pool is laid out only where room is short.

--- a/src/main/kotlin/plankwall/core/backlog/Backlog.kt
+++ b/src/main/kotlin/plankwall/core/backlog/Backlog.kt
@@ -63,8 +63,8 @@
         catchingUp.getOrPut(jobClass) { CatchingUp() }.gave(prospect(job), pool.workS(job, tasks, holdsS(job)), jobClass in overdue)
     }
 
-    /** A task of [job] is being stopped for the sake of others. */
-    fun stopped(job: Job) = floors.placed(job, -1)
+    /** [tasks] of [job] are being stopped for the sake of others. */
+    fun stopped(job: Job, tasks: Int) = floors.placed(job, -tasks)
 
     private fun judge(pending: List<Job>) {
         judgedAt = ctx.now
@@ -74,9 +74,10 @@
         byTeam(services, rest)
         val scarce = rest.filter { isScarce(it) }
         val all = capacity()
-        val pool = Pool(ctx, all, fleet.machines.asSequence().flatMap { it.placements.values }, waiting(services))
-        floors.refresh(book.live, scarce.isNotEmpty(), pool.size, ::holdsS)
-        if (scarce.isNotEmpty()) {
+        val short = scarce.isNotEmpty() || binding.teams.isNotEmpty()
+        val pool = if (short) Pool(ctx, all, fleet.machines.asSequence().flatMap { it.placements.values }, waiting(services)) else null
+        floors.refresh(book.live, scarce.isNotEmpty(), pool?.size ?: Resources.NONE, ::holdsS)
+        if (pool != null && scarce.isNotEmpty()) {
             val modest = FairParts.modest(rest, all, ::demandOf, book::used)
             for ((jobClass, jobs) in rest.filter { prospect(it) != Prospect.OUT_OF_REACH }.groupBy { it.spec.jobClass }) {
                 pool.judge(blocks(jobs) { it.team.value in modest }, floors.shareOf(jobClass), jobClass, ::holdsS, ::worse)
--- a/src/main/kotlin/plankwall/core/placing/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/placing/Preemptor.kt
@@ -84,8 +84,8 @@
         room.reserve(job, place.machine, ctx.now + RESERVE_S)
         log.info("job {} preempts {} on {}", job.spec.id, place.victims.map { it.id }, place.machine.id)
         place.victims.forEach {
+            backlog.stopped(it.job, if (it.job.isGang) it.job.placements.size else 1)
             book.stopWithSave(it, StopCause.PREEMPTED)
-            backlog.stopped(it.job)
         }
     }
 
--- a/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
+++ b/src/main/kotlin/plankwall/core/rental/RentalLoop.kt
@@ -174,10 +174,12 @@
     private fun isOpen(key: GroupKey): Boolean = (noCapacityUntil[key] ?: 0.0) <= ctx.now && key.zone !in registry.cutZones
 
     /** Whether the cloud refused, or filled in part only, what was last asked of every group that [job] may use. */
-    private fun isScarce(job: Job): Boolean = fleet.catalog?.fitting(job.spec).orEmpty().all { type ->
-        type.zones.flatMap { listOf(GroupKey(type.name, it, true), GroupKey(type.name, it, false)) }.filter { Placer.allowed(job.spec, it) }
-            // It is asked again after a while; until it has answered, what it said last holds.
-            .all { ctx.now < (noCapacityUntil[it] ?: Machine.NEVER) + NO_CAPACITY_S }
+    private fun isScarce(job: Job): Boolean {
+        val groups = fleet.catalog?.fitting(job.spec).orEmpty()
+            .flatMap { type -> type.zones.flatMap { listOf(GroupKey(type.name, it, true), GroupKey(type.name, it, false)) } }
+            .filter { Placer.allowed(job.spec, it) }
+        // It is asked again after a while; until it has answered, what it said last holds.
+        return groups.isNotEmpty() && groups.all { ctx.now < (noCapacityUntil[it] ?: Machine.NEVER) + NO_CAPACITY_S }
     }
 
     private fun rent(group: GroupKey, count: Int, waiting: Int) {
