Withdrawals told elsewhere end a leader's answers in time, whatever it can hear

Cause: a leader learned of withdrawals from the store alone and answered workers for three of their leases after its own. Change: status frames end with a numbered list of jobs known as withdrawn, repeated until an echo shows that it arrived; a leader stops those tasks at once. It answers workers only while it knows all that was told up to cancel_s less a lease ago: by a reading of the store, its own or a peer's, or by every peer's whole list. Stand-in: open watches tell nothing in an outage.

--- a/src/main/kotlin/plankwall/core/Controller.kt
+++ b/src/main/kotlin/plankwall/core/Controller.kt
@@ -46,6 +46,11 @@
     private val gate = gate?.invoke(ctx)
     private val front = FrontDesk(ctx, leadership, market, ::progressOf, board::forget, keepFacts = gate != null)
     private var nextStatus = 0.0
+
+    init {
+        leadership.cancellations.onLearned = { reign?.cancelled(it) }
+    }
+
     private val log = LoggerFactory.getLogger("workers")
 
     val leading: Boolean get() = leadership.leading
--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/Reign.kt
@@ -23,11 +23,13 @@
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
 import plankwall.wire.Order
+import plankwall.wire.OrderOp
 import plankwall.wire.PageRecord
 import plankwall.wire.ProgressNews
 import plankwall.wire.Report
 import plankwall.wire.StateItem
 import plankwall.wire.StateResult
+import plankwall.wire.TaskStage
 import plankwall.wire.WorkerCodec
 import plankwall.wire.ZoneReach
 
@@ -39,7 +41,8 @@
     private val log = LoggerFactory.getLogger("reign")
     private val store = LeaderStore(ctx, leadership)
     private val fleet = Fleet(ctx)
-    private val book = JobBook(ctx, store, fleet)
+    private val cancellations = leadership.cancellations
+    private val book = JobBook(ctx, store, fleet, cancellations::isKnown)
     private val desk = WorkerDesk(ctx, leadership, book, fleet)
     private val placer = Placer(ctx, book, fleet)
     private val outlook = Outlook(ctx, fleet, ctx.now)
@@ -143,9 +146,13 @@
         // Until the book is read nothing can be judged, but the worker's lease can be kept.
         fleet.describe(m, r)
         m.lastAnswered = ctx.now
-        return emptyList()
+        // A job known as withdrawn needs no book to be stopped: what this lease keeps alive must not be among it.
+        return r.tasks.filter { it.stage != TaskStage.EXITED && cancellations.isKnown(it.jobId) }.map { Order(OrderOp.STOP, it.jobId, it.task, it.attempt, 0.0) }
     }
 
+    /** A user was told that [job] is withdrawn. */
+    fun cancelled(job: String) = book.cancelled(job)
+
     fun overheard(r: Report) {
         if (isForeign(r)) return
         if (store.active && loaded) desk.overheard(r)
@@ -172,8 +179,8 @@
         return true
     }
 
+    /** Also without the state service: a stop needs nothing stored, and what is stored already may start. */
     private fun sendUrgent() {
-        if (!leadership.mayWrite) return
         for (m in fleet.machines) {
             if (reach.onlyThroughOthers(m)) continue
             val orders = desk.urgent(m) ?: continue
--- a/src/main/kotlin/plankwall/core/front/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/front/FrontDesk.kt
@@ -46,7 +46,7 @@
     private var open = 0
     private var nextShare = 0.0
     private var lastUnable = 0
-    private val ledger = JobLedger(ctx, keepFacts, onOver)
+    private val ledger = JobLedger(ctx, keepFacts, leadership.cancellations, onOver)
     private val finder = JobFinder(ctx, ledger)
     private val valueBytes = (ctx.settings.stateTight.valueKb * 1024).toInt()
 
@@ -368,7 +368,11 @@
 
     private fun finalView(id: String, f: FinalRecord) = JobView(id, f.stage, f.done, 0)
 
-    private fun withdrawnView(id: String) = JobView(id, JobStage.WITHDRAWN, 0, 0)
+    /** Whatever calls a job withdrawn to a user counts: those who keep its tasks have to hear of it from here too. */
+    private fun withdrawnView(id: String): JobView {
+        leadership.cancellations.learn(id)
+        return JobView(id, JobStage.WITHDRAWN, 0, 0)
+    }
 
     private companion object {
         const val MAX_OPEN = 200
--- a/src/main/kotlin/plankwall/core/front/JobLedger.kt
+++ b/src/main/kotlin/plankwall/core/front/JobLedger.kt
@@ -1,6 +1,7 @@
 package plankwall.core.front
 
 import org.slf4j.LoggerFactory
+import plankwall.core.cancellations.Cancellations
 import plankwall.core.jobs.Dependencies
 import plankwall.core.step.Context
 import plankwall.model.JobFacts
@@ -18,7 +19,12 @@
  * One such read serves all who wait for it. A read for each poll would take the state service's whole rate as soon as
  * a few hundred users poll, and the leader's writes with it.
  */
-class JobLedger(private val ctx: Context, private val keepFacts: Boolean = false, private val onOver: (String) -> Unit) {
+class JobLedger(
+    private val ctx: Context,
+    private val keepFacts: Boolean = false,
+    private val cancellations: Cancellations? = null,
+    private val onOver: (String) -> Unit,
+) {
     private val log = LoggerFactory.getLogger("front")
 
     private val live = HashSet<String>()
@@ -71,13 +77,19 @@
         if (revision == UNREAD) readAll(null, ArrayList(), 0L, served) else readChanges(served)
     }
 
-    private fun readChanges(served: List<(Boolean) -> Unit>) = ctx.out.state(StateOp.Changes(Keys.JOBS, revision)) { result ->
+    private fun readChanges(served: List<(Boolean) -> Unit>) {
+        val begunAt = ctx.now
+        ctx.out.state(StateOp.Changes(Keys.JOBS, revision)) { result -> changed(result, begunAt, served) }
+    }
+
+    private fun changed(result: StateResult, begunAt: Double, served: List<(Boolean) -> Unit>) {
         if (result is StateResult.News) {
             for (e in result.events) {
                 val record = e.value as? JobRecord
                 if (record != null) keep(Keys.jobId(e.key), record) else if (e.value == null) drop(Keys.jobId(e.key))
             }
             revision = maxOf(revision, result.revision)
+            cancellations?.readUpTo(begunAt)
         } else if (result == StateResult.TooOld) {
             revision = UNREAD
         }
@@ -88,12 +100,16 @@
         live.add(id)
         if (keepFacts) facts[id] = record.spec.factsFor(record.owner)
         dependencies.add(id, record.spec.dependencies)
-        if (record.withdrawnMs > 0) dependencies.withdrawn(id)
+        if (record.withdrawnMs > 0) {
+            dependencies.withdrawn(id)
+            cancellations?.learn(id)
+        }
     }
 
     private fun drop(id: String) {
         dependencies.over(id)
         facts.remove(id)
+        cancellations?.over(id)
         if (live.remove(id)) onOver(id)
     }
 
--- a/src/main/kotlin/plankwall/core/jobs/JobBook.kt
+++ b/src/main/kotlin/plankwall/core/jobs/JobBook.kt
@@ -17,7 +17,12 @@
  * The leader's book of live jobs, their tasks, placements and attempts, and its copy in the state service. The book
  * may run ahead of the store; commands only follow what the store has confirmed.
  */
-class JobBook(private val ctx: Context, private val store: LeaderStore, private val fleet: Fleet) {
+class JobBook(
+    private val ctx: Context,
+    private val store: LeaderStore,
+    private val fleet: Fleet,
+    private val isCancelled: (String) -> Boolean = { false },
+) {
     private val log = LoggerFactory.getLogger("jobs")
     private val jobs = LinkedHashMap<String, Job>()
     private val writer = JobWriter(ctx, store, ::learn, ::forget)
@@ -50,6 +55,8 @@
             // An older version that withdraws a job rewrites its record without the owner.
             job.owner = record.owner ?: job.owner
             if (record.withdrawnMs > 0 && !job.withdrawn) withdraw(job, record.withdrawnMs)
+            // What this was read from may be older than what a user was told.
+            if (!job.withdrawn && isCancelled(id)) withdraw(job, ctx.time.wallMs)
             soil(job)
         }
     }
@@ -186,6 +193,15 @@
         withdraw(job, ctx.time.wallMs)
     }
 
+    /**
+     * A user was told that [id] is withdrawn, by whatever node, so it is stored though not read here yet. Its tasks are stopped at
+     * once, which needs nothing stored, and none starts; that anything is gone is proven as ever.
+     */
+    fun cancelled(id: String) {
+        val job = jobs[id] ?: return
+        if (!job.withdrawn) withdraw(job, ctx.time.wallMs)
+    }
+
     private fun withdraw(job: Job, atMs: Long) {
         job.withdrawn = true
         job.withdrawnMs = atMs
--- a/src/main/kotlin/plankwall/core/lead/Leadership.kt
+++ b/src/main/kotlin/plankwall/core/lead/Leadership.kt
@@ -1,6 +1,7 @@
 package plankwall.core.lead
 
 import org.slf4j.LoggerFactory
+import plankwall.core.cancellations.Cancellations
 import plankwall.core.links.Claim
 import plankwall.core.links.LinkPicture
 import plankwall.core.links.Routing
@@ -32,6 +33,7 @@
     val picture = LinkPicture(ctx)
     val routing = Routing(ctx, picture, ttlS)
     val succession = Succession(ctx, picture, turnUps)
+    val cancellations = Cancellations(ctx, picture)
 
     /** The highest epoch heard of from anybody. */
     val epochSeen: Long get() = routing.epochSeen
@@ -62,8 +64,14 @@
     /** May store: the lease is surely still ours. */
     val mayWrite: Boolean get() = leading && ctx.now < validUntil
 
-    /** May answer workers: bounded, so that a successor can tell when we have surely stopped. */
-    val mayAnswer: Boolean get() = leading && ctx.now < validUntil + ctx.outageGraceS
+    /**
+     * May answer workers: bounded, so that a successor can tell when we have surely stopped, and so that no task outlives
+     * a withdrawal that we don't know of.
+     */
+    val mayAnswer: Boolean get() = leading && ctx.now < validUntil + ctx.outageGraceS && cancellations.isAware
+
+    /** Refused to answer for the sake of withdrawals, as far as the log says. */
+    private var unaware = false
 
     /** Every other node has shown that it runs this version or a later one. */
     val allCurrent: Boolean get() = ctx.settings.peers.all { (picture.word(it.node)?.level ?: 0) >= PeerCodec.LEVEL }
@@ -77,12 +85,25 @@
     fun guard(): Guard = Guard(Keys.LEADER, epoch)
 
     fun tick() {
+        cancellations.tick()
+        tellAwareness()
         if (polling || acquiring || ctx.now < nextPoll) return
         polling = true
         picture.storeAsked()
         if (leading) renew() else poll()
     }
 
+    private fun tellAwareness() {
+        val now = leading && !cancellations.isAware
+        if (now == unaware) return
+        unaware = now
+        if (!now) return log.info("every withdrawal is known here again that could have run out")
+        log.warn(
+            "epoch {}: workers get no answer, since users may have been told of withdrawals unknown here: the store was read {} s ago, and {} do not vouch",
+            epoch, (ctx.now - cancellations.storedUpTo).toLong(), cancellations.doubts(),
+        )
+    }
+
     private fun renew() {
         val sentAt = ctx.now
         val renewed = lease
@@ -170,7 +191,9 @@
             }
         }
         // The one that is named asks for the lead at once, instead of when its turn comes.
-        if (picture.hear(status) && succession.hear(status) && !leading) nextPoll = minOf(nextPoll, ctx.now)
+        if (!picture.hear(status)) return
+        cancellations.hear(status)
+        if (succession.hear(status) && !leading) nextPoll = minOf(nextPoll, ctx.now)
     }
 
     /** Steps down. [dropLease] lets the next leader start at once. */
@@ -201,6 +224,7 @@
 
     fun status(strayWorkers: Int, links: LinkReport) = PeerStatus(
         ctx.settings.node, ctx.incarnation, epochSeen, leading, resignedEpoch, picture.storeReachable, strayWorkers, PeerCodec.LEVEL, links,
+        cancellations.news(links.seq),
     )
 
     private companion object {
--- a/src/main/kotlin/plankwall/core/links/LinkPicture.kt
+++ b/src/main/kotlin/plankwall/core/links/LinkPicture.kt
@@ -16,7 +16,7 @@
  * has had from us: it was made after we sent that one, which bounds its age by our own clock alone.
  */
 class LinkPicture(private val ctx: Context) {
-    private class Heard(val status: PeerStatus, val at: Double, val provenAt: Double)
+    private class Heard(val status: PeerStatus, val at: Double, val provenAt: Double, val echoedAt: Double)
 
     private val peers = HashMap<String, Heard>()
     private val storeOk = DoubleArray(StoreUse.entries.size) { Double.NaN }
@@ -38,11 +38,9 @@
         val known = peers[status.node]
         if (known != null && isOlder(status, known.status)) return false
         val echoed = status.links?.echoes?.get(ctx.settings.node)
-        val proven = when {
-            status.links == null || echoed == null -> ctx.now
-            else -> sentAt[echoed] ?: Double.NEGATIVE_INFINITY
-        }
-        peers[status.node] = Heard(status, ctx.now, proven)
+        val echoedAt = echoed?.let { sentAt[it] } ?: Double.NEGATIVE_INFINITY
+        val proven = if (echoed == null) ctx.now else echoedAt
+        peers[status.node] = Heard(status, ctx.now, proven, echoedAt)
         return true
     }
 
@@ -61,6 +59,9 @@
     /** When the newest word of [node] was surely not made yet, in seconds of our clock; negative infinity: unknown. */
     fun provenAt(node: String): Double = peers[node]?.provenAt ?: Double.NEGATIVE_INFINITY
 
+    /** Like [provenAt], but by a frame of ours that [node] shows and by nothing else: a node that shows none may be of any age. */
+    fun echoedAt(node: String): Double = peers[node]?.echoedAt ?: Double.NEGATIVE_INFINITY
+
     fun isFresh(node: String): Boolean = ctx.now - provenAt(node) < FRESH_S
 
     /** Peers whose newest word is surely new, in both directions: they hear us too. */
--- a/src/main/kotlin/plankwall/lab/SimState.kt
+++ b/src/main/kotlin/plankwall/lab/SimState.kt
@@ -171,6 +171,8 @@
 
     private fun close(w: Watcher) {
         if (!w.open) return
+        // Open watches stay open through an outage, and tell nothing meanwhile.
+        if (outage) return clock.after(0.1) { close(w) }
         w.open = false
         watchers.remove(w)
         w.answer(StateResult.News(changes(w.op.prefix, w.op.after), revision))
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -45,13 +45,14 @@
     private val stateNext: StateLimits? = null,
     private val gate: ((node: String) -> GateSettings?)? = null,
     objectives: List<Objective> = emptyList(),
+    times: WorkerTimes? = null,
 ) {
     val random = Random(seed)
     val clock = SimClock()
-    val settings: Settings = settings("n0", nodeCount).copy(stateNext = stateNext, objectives = objectives)
+    val settings: Settings = settings("n0", nodeCount).let { it.copy(stateNext = stateNext, objectives = objectives, workers = times ?: it.workers) }
     val checker = RuleChecker(settings)
     val state = SimState(clock, settings.state)
-    val nodes = List(nodeCount) { Node("n$it", settings("n$it", nodeCount).copy(stateNext = stateNext, objectives = objectives)) }
+    val nodes = List(nodeCount) { Node("n$it", settings("n$it", nodeCount).copy(stateNext = stateNext, objectives = objectives, workers = settings.workers)) }
     val cloud = SimCloud(clock, random, CATALOG, 4.0) { id, group -> SimWorker(this, id, group) }
     private val specs = HashMap<String, JobSpec>()
 
@@ -165,7 +166,7 @@
         fun frame(bytes: ByteArray) {
             val d = door
             val sent = if (d == null) PeerCodec.read(bytes) else d.open(bytes, wallMs())
-            val message = if (name in older && sent is PeerStatus) sent.copy(links = null) else sent
+            val message = if (name in older && sent is PeerStatus) sent.copy(links = null, withdrawals = null) else sent
             check(name !in older || (message !is RelayedReport && message !is RelayedAnswer)) { "a frame that $name can't read" }
             if (message != null) feed(Input.PeerHeard(message))
         }
@@ -189,7 +190,7 @@
                 is Effect.CloudCall -> cloudCall(e, mine)
                 is Effect.WorkerPost -> if ("$name-workers" !in cuts) command(e, mine)
                 is Effect.PeerSend -> if ("$name-peers" !in cuts) {
-                    val plain = PeerCodec.write(if (name in older && e.message is PeerStatus) e.message.copy(links = null) else e.message)
+                    val plain = PeerCodec.write(if (name in older && e.message is PeerStatus) e.message.copy(links = null, withdrawals = null) else e.message)
                     val bytes = door?.seal(plain, wallMs()) ?: plain
                     nodes.filter { it !== this && "${it.name}-peers" !in cuts && (e.to == null || e.to == it.name) }
                         .forEach { peer -> wiring.carry(name, peer.name) { if (peer.up) peer.frame(bytes) } }
@@ -246,12 +247,17 @@
             val answer = once<StateResult>(mine) { Input.StateReply(e.call, it) }
             if (wiring.cuts > 0) clock.after((e.op as? StateOp.Watch)?.let { it.waitMs / 1000.0 + 4.0 } ?: 1.5) { answer(StateResult.Unknown) }
             wiring.carry(name, "state", refused = { answer(StateResult.Refused) }) {
-                state.run(e.op) { result ->
+                state.run(e.op) { result -> whenServed(e.op) {
                     val told = if (e.op !is StateOp.Watch && random.nextDouble() < loss) StateResult.Unknown else result
                     wiring.carry("state", name, refused = { answer(StateResult.Unknown) }) { answer(told) }
-                }
+                } }
             }
         }
+
+        /** The open watches of a node that is refused wait as they do in an outage. */
+        private fun whenServed(op: StateOp, then: () -> Unit) {
+            if (op is StateOp.Watch && ("$name-state" in cuts || state.outage)) clock.after(0.1) { whenServed(op, then) } else then()
+        }
     }
 
     fun checkIn(worker: SimWorker, node: Node, report: Report, then: (Int, JsonNode) -> Unit) {
--- a/src/main/kotlin/plankwall/wire/PeerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/PeerCodec.kt
@@ -32,6 +32,8 @@
         body.writeInt(s.level)
         // The second one up to here.
         s.links?.let { LinkCodec.write(body, it) }
+        // The third one up to here.
+        if (s.links != null) s.withdrawals?.let { WithdrawalCodec.write(body, it) }
         return body.readByteArray()
     }
 
@@ -65,7 +67,8 @@
         val strays = b.readInt()
         val level = if (b.exhausted()) FIRST_LEVEL else b.readInt()
         val links = if (b.exhausted()) null else LinkCodec.read(b)
-        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, strays, level, links)
+        val withdrawals = if (b.exhausted()) null else WithdrawalCodec.read(b)
+        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, strays, level, links, withdrawals)
     }
 
     private fun readProgress(b: Buffer): ProgressNews {
--- a/src/main/kotlin/plankwall/wire/PeerMessages.kt
+++ b/src/main/kotlin/plankwall/wire/PeerMessages.kt
@@ -21,6 +21,8 @@
     val level: Int = PeerCodec.FIRST_LEVEL,
     /** Null from a version that knows nothing of it, and that is not to be sent [RelayedReport]s either. */
     val links: LinkReport? = null,
+    /** Null from a version that does not tell; it vouches for nothing then. */
+    val withdrawals: WithdrawalNews? = null,
 ) : PeerMessage {
     override val speaker: String get() = node
 
@@ -57,6 +59,19 @@
     val successor: String?,
 )
 
+/**
+ * Jobs that a node knows as withdrawn, numbered from 1 in the order in which it came to know them since it started: [jobs] begin
+ * with number [first]. All that it knew when the frame was made is numbered up to the last of them.
+ */
+data class WithdrawalNews(
+    val first: Long,
+    val jobs: List<String>,
+    /** Since it began the last reading of the store that it has an answer to, by its clock; negative: none yet. */
+    val readAgeMs: Long,
+    /** Since it was started, by its clock. */
+    val upMs: Long,
+)
+
 enum class StoreUse { READ, WRITE, RENEW, WATCH }
 
 /** A leader's machines in one zone: [known] at work, of these [late] with a report that came straight to it. */
--- a/src/test/kotlin/plankwall/build/ArchitectureTest.kt
+++ b/src/test/kotlin/plankwall/build/ArchitectureTest.kt
@@ -9,14 +9,15 @@
 
 /** Which package may use which. A direction that is not in the table has to be argued for in docs/design.md first. */
 class ArchitectureTest {
-    private val core = setOf("core.step", "core.links", "core.lead", "core.jobs", "core.backlog", "core.placing", "core.outlook", "core.relay", "core.rental", "core.workers", "core.front")
+    private val core = setOf("core.step", "core.links", "core.cancellations", "core.lead", "core.jobs", "core.backlog", "core.placing", "core.outlook", "core.relay", "core.rental", "core.workers", "core.front")
 
     private val allowed: Map<String, Set<String>> = mapOf(
         "model" to emptySet(),
         "wire" to setOf("model"),
         "core.step" to setOf("model", "wire"),
         "core.links" to setOf("model", "wire", "core.step"),
-        "core.lead" to setOf("model", "wire", "core.step", "core.links"),
+        "core.cancellations" to setOf("model", "wire", "core.step", "core.links"),
+        "core.lead" to setOf("model", "wire", "core.step", "core.links", "core.cancellations"),
         "core.jobs" to setOf("model", "wire", "core.step", "core.lead"),
         "core.backlog" to setOf("model", "wire", "core.step", "core.jobs"),
         "core.placing" to setOf("model", "wire", "core.step", "core.jobs", "core.backlog"),
@@ -24,7 +25,7 @@
         "core.relay" to setOf("model", "wire", "core.step", "core.links", "core.lead", "core.jobs", "core.outlook"),
         "core.rental" to setOf("model", "wire", "core.step", "core.lead", "core.jobs", "core.backlog", "core.placing", "core.outlook"),
         "core.workers" to setOf("model", "wire", "core.step", "core.lead", "core.jobs"),
-        "core.front" to setOf("model", "wire", "core.step", "core.links", "core.lead", "core.jobs"),
+        "core.front" to setOf("model", "wire", "core.step", "core.links", "core.cancellations", "core.lead", "core.jobs"),
         "core" to setOf("model", "wire") + core,
         "identity" to setOf("model", "wire", "core.step"),
         "access.grammar" to emptySet(),
--- /dev/null
+++ b/src/test/kotlin/plankwall/meetings/GapTest.kt
@@ -0,0 +1,172 @@
+package plankwall.meetings
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import plankwall.core.step.Effect
+import plankwall.core.step.Input
+import plankwall.lab.Cut
+import plankwall.lab.SimWorker
+import plankwall.lab.World
+import plankwall.model.WorkerTimes
+import plankwall.wire.Keys
+import plankwall.wire.StateOp
+
+/**
+ * The store refuses the leader alone, another node confirms a withdrawal, then the store is away for all for longer than
+ * `cancel_s`, while workers report to the old leader. The checker says `ran_cancelled` by the user's clock.
+ */
+class GapTest {
+    private lateinit var world: World
+    private lateinit var first: World.Node
+    private val others get() = world.nodes.filter { it !== first }
+
+    private fun begin(times: WorkerTimes = World.settings("n0", 5).workers) {
+        world = World(7, nodeCount = 5, times = times)
+        world.clock.after(2.0) { (1..6).forEach { world.submit(World.job(it, tasks = 10, runS = 900.0)) } }
+        world.clock.runUntil(60.0)
+        assertEquals(60, world.checker.starts)
+        first = world.nodes.first { it.leading }
+    }
+
+    private fun refuse(node: World.Node, forS: Double) {
+        world.cuts.add("${node.name}-state")
+        world.clock.after(forS) { world.cuts.remove("${node.name}-state") }
+    }
+
+    private fun outage(forS: Double) {
+        world.state.outage = true
+        world.clock.after(forS) { world.state.outage = false }
+    }
+
+    private var told = 0
+
+    private fun withdraw(node: World.Node, job: Int, then: () -> Unit = {}) {
+        val id = "job-%06d".format(job)
+        world.checker.withdrawAsked(id)
+        node.ask({ Input.Withdraw(it, id) }) { status, body ->
+            if (status != 200) return@ask
+            told++
+            world.checker.withdrawAnswered(id, SimWorker.json.readTree(body).get("stage").asText(), world.clock.now)
+            then()
+        }
+    }
+
+    /** [killed]: whether a bound has to end the work since no word came; null: either will do. */
+    private fun ends(withdrawals: Int, killed: Boolean?) {
+        world.clock.runUntil(world.clock.now + 200.0)
+        assertEquals(withdrawals, told, "withdrawals confirmed")
+        assertEquals(emptyList<String>(), world.checker.broken)
+        if (killed != null) assertEquals(killed, world.leaseDeaths > 0, "${world.leaseDeaths} tasks killed by their lease")
+        // Whatever was killed meanwhile runs again: all but the withdrawn jobs, and nothing waits for ever.
+        (1..6).forEach { assertEquals(if (it <= withdrawals) "withdrawn" else "running", world.stageOf("job-%06d".format(it))) }
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "as it stands, false",
+        "the peers can't be heard either, true",
+        "whoever confirmed crashes right after, true",
+        "whoever confirmed crashes and is back at once,",
+        "whoever confirmed stands still and goes on, true",
+        "the word is held back, true",
+        "the word is lost, true",
+        "whoever confirmed is of an older version, true",
+        "a leader has just won,",
+        "a leader reads the book page by page,",
+        "the old leader goes on beside the new one,",
+        "twice in a row, false",
+    )
+    fun `a withdrawn job's tasks are gone in time`(how: String, killed: Boolean?) {
+        begin()
+        val by = others.first()
+        var withdrawals = 1
+        if (how == "whoever confirmed is of an older version") {
+            world.older.add(by.name)
+            world.clock.runUntil(70.0)
+        }
+        refuse(first, 14.0)
+        when (how) {
+            "a leader has just won" -> onSecond(by) { true }
+            "a leader reads the book page by page" -> onSecond(by) { e -> ((e as? Effect.StateCall)?.op as? StateOp.Range)?.prefix == Keys.PAGES }
+            "the old leader goes on beside the new one" -> {
+                world.cuts.add("${first.name}-peers")
+                world.clock.after(10.0) { gap(by) }
+            }
+            else -> world.clock.after(0.5) { withdraw(by, 1) { after(how, by) } }
+        }
+        if (!how.startsWith("a leader") && !how.startsWith("the old leader")) world.clock.after(1.5) { outage(60.0 - 8.0) }
+        if (how == "the peers can't be heard either") world.cuts.add("${first.name}-peers")
+        if (how == "twice in a row") {
+            withdrawals = 2
+            world.clock.after(100.0) {
+                first = world.nodes.first { it.leading }
+                refuse(first, 14.0)
+                world.clock.after(0.5) { withdraw(others.last(), 2) }
+                world.clock.after(1.5) { outage(50.0) }
+            }
+        }
+        world.clock.after(100.0) { world.cuts.clear() }
+        ends(withdrawals, killed)
+    }
+
+    private fun after(how: String, by: World.Node) {
+        when (how) {
+            "whoever confirmed crashes right after" -> by.crash(30.0)
+            "whoever confirmed crashes and is back at once" -> by.crash(0.2)
+            "whoever confirmed stands still and goes on" -> by.freeze(45.0)
+            "the word is held back" -> apart(by, Cut.HOLD)
+            "the word is lost" -> apart(by, Cut.DROP)
+        }
+    }
+
+    private fun apart(node: World.Node, how: Cut) {
+        world.wiring.cutBoth(node.name, first.name, how)
+        world.clock.after(70.0) { world.wiring.healBoth(node.name, first.name) }
+    }
+
+    /** The confirmation, and the outage for all right after it. */
+    private fun gap(by: World.Node) {
+        world.clock.after(0.001) { withdraw(by, 1) }
+        world.clock.after(0.03) { outage(60.0) }
+    }
+
+    /** The gap, once, as soon as a second leader does what [moment] waits for. */
+    private fun onSecond(by: World.Node, moment: (Effect) -> Boolean) {
+        var over = false
+        world.onEffect = { node, effect ->
+            if (!over && node !== first && node.leading && moment(effect)) {
+                over = true
+                gap(by)
+            }
+        }
+    }
+
+    @ParameterizedTest(name = "report {0} s, lease {1} s, cancel {2} s")
+    @CsvSource("3, 18, 38", "3, 28, 53", "4, 18, 38", "5, 28, 53")
+    fun `in time by the operators' own figures, with the peers heard or not`(reportS: Double, leaseS: Double, cancelS: Double) {
+        for (heard in listOf(true, false)) {
+            told = 0
+            begin(WorkerTimes(reportS, leaseS, 45.0, 5.0, cancelS))
+            refuse(first, 14.0)
+            if (!heard) world.cuts.add("${first.name}-peers")
+            world.clock.after(0.5) { withdraw(others.first(), 1) }
+            world.clock.after(1.5) { outage(cancelS + 12.0) }
+            world.clock.after(100.0) { world.cuts.clear() }
+            ends(1, killed = !heard)
+        }
+    }
+
+    @Test
+    fun `a plain outage stops nothing that could run`() {
+        begin()
+        outage(52.0)
+        world.clock.runUntil(world.clock.now + 100.0)
+        assertEquals(0, world.leaseDeaths)
+        assertEquals(60, world.checker.starts)
+        assertEquals(emptyList<String>(), world.checker.broken)
+        assertTrue(world.nodes.count { it.leading } == 1)
+    }
+}
