Cancellations: a node's list names also what it knew by a peer's word first

Cause, found by reading: a withdrawal learned from a peer was known, so a later reading or telling did not put it into this node's own list. A leader that never heard that peer took the list for whole and this node's reading of the store for its own, and could go on answering for a task that it knew nothing of. Change: whatever becomes known is listed.

--- a/src/main/kotlin/plankwall/core/cancellations/Cancellations.kt
+++ b/src/main/kotlin/plankwall/core/cancellations/Cancellations.kt
@@ -49,13 +49,13 @@
 
     /** [job] is stored as withdrawn; to be said before any user is told so, and as the store is read. */
     fun learn(job: String) {
-        if (!note(job)) return
-        own.add(job)
-        advance()
+        if (note(job)) advance()
     }
 
     private fun note(job: String): Boolean {
         if (known.put(job, Unit) != null) return false
+        // Also what a peer said: our own list is whole only if it names all that we may read or tell later as known already.
+        own.add(job)
         onLearned(job)
         return true
     }
--- a/src/test/kotlin/plankwall/meetings/CancellationsTest.kt
+++ b/src/test/kotlin/plankwall/meetings/CancellationsTest.kt
@@ -121,6 +121,9 @@
         repeat(2) { says(node, whole().copy(first = first, jobs = listOf("job-000007"))) }
         assertEquals(listOf("job-000007"), learned)
         assertEquals(true, cancellations.isKnown("job-000007"))
+        // Told by this node later, it would be missing from a list that claims to be whole.
+        cancellations.learn("job-000007")
+        assertEquals(listOf("job-000007"), cancellations.news(1).jobs)
         cancellations.over("job-000007")
         assertEquals(false, cancellations.isKnown("job-000007"))
     }
