An old report as the first word proves no deafness; starts never sent to a quiet machine are taken back

Cause: a copy of an earlier session, taken as a machine's first word by a new leader, made the true report of the next session look like a lease lost though answered: the machine was barred for a lease. And work placed by such a word on a machine that is gone waited for its lease. Change: a machine that has not shown this leader's token is barred only until it does. A placement whose run was put into no answer is taken back once its machine misses a report: nothing of it can start, so no proof is needed. Nothing else that a first word proves has changed.

--- a/src/main/kotlin/plankwall/core/jobs/Machines.kt
+++ b/src/main/kotlin/plankwall/core/jobs/Machines.kt
@@ -74,6 +74,12 @@
     var blockedUntil = NEVER
     var lastAnnounced = NEVER
 
+    /** Its session ended though its reports were answered, and it has not shown since that it hears this leader. */
+    var deaf = false
+
+    /** What was placed here in vain was taken back: nothing more is placed before it is heard again. */
+    var awaited = false
+
     /** A start or a stop here has not been commanded yet. */
     var unsent = false
 
--- a/src/main/kotlin/plankwall/core/placing/Placer.kt
+++ b/src/main/kotlin/plankwall/core/placing/Placer.kt
@@ -99,7 +99,7 @@
      * it would leave a new machine neither arriving nor usable for a while, and another would be rented in its place.
      */
     fun usable(m: Machine): Boolean = fleet.isReady(m) && m.type != null && !m.returning && !m.faulty &&
-        m.noticeAt == Machine.NEVER && m.strangers == 0 && m.blockedUntil <= ctx.now
+        m.noticeAt == Machine.NEVER && m.strangers == 0 && m.blockedUntil <= ctx.now && !m.deaf && !m.awaited
 
     private fun placeTasks(job: Job, roomy: List<Machine>, usable: List<Machine>, full: HashSet<FitKey>, budget: Int): Int {
         if ((job.isGang || job.doubtful) && job.placements.isNotEmpty()) return 0
--- a/src/main/kotlin/plankwall/core/workers/WorkerDesk.kt
+++ b/src/main/kotlin/plankwall/core/workers/WorkerDesk.kt
@@ -40,6 +40,7 @@
             log.info("machine {} registered: {}", m.id, m.group)
         }
         m.confirmed = r.token >= leadership.epoch
+        if (m.confirmed) m.deaf = false
         if (r.noticeS != null && m.noticeAt == Machine.NEVER) {
             m.noticeAt = ctx.now + r.noticeS
             log.info("machine {} will be taken in {} s", m.id, r.noticeS)
@@ -100,11 +101,14 @@
     }
 
     private fun hear(m: Machine, r: Report) {
-        // Its lease ran out though its reports were answered: it does not hear us, and what is placed there would not start.
+        // Its lease ran out though its reports were answered: it does not hear us, and what is placed there would not start. One that
+        // has shown our token may have heard us once and not since; any other shows by the token that it does. What we took for its
+        // word may have been an old report, held back until we led, which says nothing against the machine.
         if (m.session in 1 until r.session && ctx.now - m.lastAnswered < ctx.settings.workers.leaseS) {
-            m.blockedUntil = ctx.now + ctx.surelyOverS
-            log.info("machine {} lost its lease though it was answered: no work for it for now", m.id)
+            if (r.token >= leadership.epoch) m.blockedUntil = ctx.now + ctx.surelyOverS else m.deaf = true
+            log.info("machine {} lost its lease though it was answered: no work for it {}", m.id, if (m.deaf) "until it shows our token" else "for now")
         }
+        m.awaited = false
         fleet.describe(m, r)
         m.seq = if (r.session > m.session) r.seq else maxOf(m.seq, r.seq)
         m.session = r.session
@@ -210,11 +214,26 @@
         }
     }
 
-    /** Releases what is on machines whose worker's lease is surely over. */
+    /** Releases what is on machines whose worker's lease is surely over, and takes back what never left for one that has gone quiet. */
     fun releaseSilent() {
         for (m in fleet.machines) {
-            if (m.placements.isEmpty() || ctx.now < fleet.surelyEmptyAt(m, leadership.othersSilent)) continue
-            m.placements.values.toList().forEach { if (it.stored || it.commanded) book.release(it, "lease of ${m.id} is over") }
+            if (m.placements.isEmpty()) continue
+            if (ctx.now >= fleet.surelyEmptyAt(m, leadership.othersSilent)) {
+                m.placements.values.toList().forEach { if (it.stored || it.commanded) book.release(it, "lease of ${m.id} is over") }
+            } else if (m.registered && ctx.now - m.lastHeard > ctx.settings.workers.missedS) {
+                takeBack(m)
+            }
+        }
+    }
+
+    /**
+     * `run` was put into no answer, so nothing of it can start: no proof is needed to place it elsewhere. What we know of the machine may be
+     * one old report that was held back until we led, of a machine that is long gone; its lease would be waited for in vain.
+     */
+    private fun takeBack(m: Machine) {
+        for (p in m.placements.values.filter { it.stored && !it.commanded }) {
+            m.awaited = true
+            book.release(p, "never commanded, and ${m.id} has missed a report")
         }
     }
 
