A submission that lacks a flag gets 400, one that can't lie as it must 422; accepted jobs stay known

together, scatter and loaners may not be null (PROTOCOL), so one that lacks them is malformed; stored records are read as before. A gang or service that has to be spread over zones and may have one only can never run. A refusal by the state service for size is looked up first, as all others are.

--- a/src/main/kotlin/plankwall/core/front/FrontDesk.kt
+++ b/src/main/kotlin/plankwall/core/front/FrontDesk.kt
@@ -116,7 +116,7 @@
         val catalog = market.catalog
         val refusal = when {
             catalog == null -> Refusal(503, "the machine types are not known yet")
-            StateCodec.sizeOf(record) > valueBytes -> Refusal(400, "the description is too long to be kept")
+            StateCodec.sizeOf(record) > valueBytes -> Refusal(400, TOO_LONG)
             else -> judge(spec, catalog)?.let { Refusal(422, it) }
         }
         if (refusal != null) refuse(visit, allowed, refusal) else whenAccepted(visit, allowed, spec) { store(visit, allowed, record, tries) }
@@ -188,7 +188,8 @@
                 result is StateResult.Conflict -> finder.lookUp(spec.id) { answerKnown(visit, spec.id, it) }
                 result == StateResult.Rejected -> {
                     log.warn("job {} refused for good by the state service: {} bytes", spec.id, StateCodec.sizeOf(record))
-                    visit.answer(400, JobCodec.error("the description is too long to be kept"))
+                    // Its size is looked at before the guards: an earlier try may have been accepted while larger values were.
+                    refuse(visit, allowed, Refusal(400, TOO_LONG))
                 }
                 else -> visit.later("the state service did not confirm")
             }
@@ -232,7 +233,11 @@
     /** Why the job can never run, or null. */
     private fun judge(spec: JobSpec, catalog: Catalog): String? {
         val team = ctx.settings.teams.find { it.name == spec.team } ?: return "unknown team"
-        if (catalog.fitting(spec).isEmpty()) return "a task fits no allowed machine type"
+        val fitting = catalog.fitting(spec)
+        if (fitting.isEmpty()) return "a task fits no allowed machine type"
+        // Tasks of an array may run one after another, those of the others can't.
+        val zones = if (spec.oneZone || spec.zone != null) 1 else fitting.flatMap { it.zones }.distinct().size
+        if (spec.spread && spec.shape != Shape.ARRAY && spec.tasks > 1 && zones < 2) return "its tasks may not share the only zone that they may have"
         val atOnce = if (spec.shape == Shape.ARRAY) spec.need else spec.need * spec.tasks
         return if (team.allows(atOnce)) null else "needs more than the team's limit"
     }
@@ -375,6 +380,7 @@
     }
 
     private companion object {
+        const val TOO_LONG = "the description is too long to be kept"
         const val MAX_OPEN = 200
         const val PART_OF_RATE = 0.3
         const val UNEVEN = 2.0
--- a/src/main/kotlin/plankwall/wire/JobCodec.kt
+++ b/src/main/kotlin/plankwall/wire/JobCodec.kt
@@ -34,12 +34,15 @@
     const val MAX_DEPENDENCIES = 100
 
     /** A submission. What bounds it beyond its form stays out of [read], which must go on reading what is stored. */
-    fun read(bytes: ByteArray): JobSpec = parseJson(bytes) { read(it) }.also {
+    fun read(bytes: ByteArray): JobSpec = parseJson(bytes) { read(it, whole = true) }.also {
         if (it.dependencies.size > MAX_DEPENDENCIES) throw BadMessage("awaits: at most $MAX_DEPENDENCIES jobs")
     }
 
-    /** Throws [BadMessage] for anything missing or out of bounds: what is let in here is stored for good. */
-    fun read(p: JsonParser): JobSpec {
+    /**
+     * Throws [BadMessage] for anything missing or out of bounds: what is let in here is stored for good. A submission has to be
+     * [whole]: a flag that is missing is no false one, since the job would be placed where its owner may not have meant it to be.
+     */
+    fun read(p: JsonParser, whole: Boolean = false): JobSpec {
         var id: String? = null
         var jobClass: String? = null
         var team: String? = null
@@ -53,9 +56,9 @@
         var imageGb: Double? = null
         var types: List<String>? = null
         var zone: String? = null
-        var oneZone = false
-        var spread = false
-        var spot = false
+        var oneZone: Boolean? = null
+        var spread: Boolean? = null
+        var spot: Boolean? = null
         var estimate: Double? = null
         var checkpoint: Double? = null
         var save: Double? = null
@@ -76,9 +79,9 @@
                 "size_gb" -> imageGb = amount(name).toDouble()
                 "builds" -> types = names(name)
                 "yard" -> zone = textOrNull(name)
-                "together" -> oneZone = flagOrNull(name)
-                "scatter" -> spread = flagOrNull(name)
-                "loaners" -> spot = flagOrNull(name)
+                "together" -> oneZone = flag(name, whole)
+                "scatter" -> spread = flag(name, whole)
+                "loaners" -> spot = flag(name, whole)
                 "guess_s" -> estimate = amount(name).toDouble()
                 "snapshot_s" -> checkpoint = amount(name).toDouble()
                 "stow_s" -> save = amount(name).toDouble()
@@ -91,10 +94,12 @@
         val jobId = need("id", id)
         if (!isJobId(jobId)) throw BadMessage("id: not of the form job-000412")
         if (jobId in dependencies) throw BadMessage("awaits: names the job itself")
+        fun needFlag(name: String, value: Boolean?): Boolean = if (whole) need(name, value) else value ?: false
         return JobSpec(
             jobId, need("docket", jobClass), need("crew", team), need("shape", shape), need("urgency", priority),
             count.toInt(), Resources(need("cores", cpus), need("accelerators", gpus), need("ram_gb", memory)),
-            need("mould", image), need("size_gb", imageGb), types, zone, oneZone, spread, spot,
+            need("mould", image), need("size_gb", imageGb), types, zone,
+            needFlag("together", oneZone), needFlag("scatter", spread), needFlag("loaners", spot),
             need("guess_s", estimate), need("snapshot_s", checkpoint), need("stow_s", save), deadline,
             dependencies,
         )
@@ -114,8 +119,8 @@
         return value
     }
 
-    private fun JsonParser.flagOrNull(field: String): Boolean =
-        if (currentToken() == JsonToken.VALUE_NULL) false else flag(field)
+    private fun JsonParser.flag(field: String, whole: Boolean): Boolean? =
+        if (!whole && currentToken() == JsonToken.VALUE_NULL) null else flag(field)
 
     private fun JsonParser.names(field: String): List<String>? {
         if (currentToken() == JsonToken.VALUE_NULL) return null
