--- a/src/main/kotlin/plankwall/lab/RuleChecker.kt
+++ b/src/main/kotlin/plankwall/lab/RuleChecker.kt
@@ -16,6 +16,11 @@
     private val withdrawn = HashMap<String, Double>()
     private val asked = HashSet<String>()
     private val told = HashMap<String, String>()
+    private val toldAt = HashMap<String, Double>()
+
+    /** Tasks that were commanded to start after their user was told that the job is cancelled. What was commanded before may still start. */
+    var startsAfterCancel = 0
+        private set
 
     /** Submissions of jobs whose dependencies were all accepted, answered 422 all the same. */
     val refused = ArrayList<String>()
@@ -37,12 +42,18 @@
         on[task] = Place(spec, worker)
         val team = settings.teams.first { it.name == spec.team }
         val used = on.values.filter { it.spec.team == spec.team }.fold(Resources.NONE) { sum, p -> sum + p.spec.need }
+        mostUsed.merge(spec.team, used) { a, b -> Resources(maxOf(a.cpus, b.cpus), maxOf(a.gpus, b.gpus), maxOf(a.memory, b.memory)) }
         if (team.gpusMax > 0 && used.gpus > team.gpusMax || team.cpusMax > 0 && used.cpus > team.cpusMax) {
             broken.add("quota: ${spec.team} at $now")
         }
         checkWithdrawn(now)
     }
 
+    /** A worker took the command to start a task of [id]. */
+    fun commanded(id: String, now: Double) {
+        if (withdrawn[id]?.let { it < now } == true) startsAfterCancel++
+    }
+
     fun off(task: String, worker: SimWorker, now: Double) {
         if (on[task]?.worker === worker) on.remove(task)
         checkWithdrawn(now)
@@ -63,6 +74,12 @@
 
     fun isAccepted(id: String): Boolean = id in accepted
 
+    /** `done` or `withdrawn` once a user was told so. */
+    fun stageTold(id: String): String? = told[id]
+
+    /** The most that tasks of a team have used at one time. */
+    val mostUsed = HashMap<String, Resources>()
+
     /** The jobs that [id] needs, directly or through others. */
     private fun needed(id: String): Set<String> {
         val found = LinkedHashSet<String>()
@@ -71,29 +88,41 @@
         return found
     }
 
-    fun submitted(spec: JobSpec, status: Int, now: Double = 0.0) {
+    /** [stage] is what the answer called the job, [askedAt] when it was asked for: what another node tells meanwhile makes it no older answer. */
+    fun submitted(spec: JobSpec, status: Int, now: Double = 0.0, stage: String? = null, askedAt: Double = now) {
         if (status == 422 && spec.dependencies.all { it in accepted }) refused.add(spec.id)
         if (status == 200 || status == 201) {
             accepted[spec.id] = spec
             acceptedAt.putIfAbsent(spec.id, now)
+            if (stage != null) noteStage(spec.id, stage, now, askedAt)
+        }
+        if (spec.id in accepted && (status == 400 || status == 422) || status == 404 && isKnownBy(spec.id, askedAt)) broken.add("forgotten: ${spec.id} got $status")
+    }
+
+    private fun isKnownBy(id: String, askedAt: Double): Boolean = acceptedAt[id]?.let { it <= askedAt } ?: false
+
+    /** What a job is called for good once stays so for whoever asks later. */
+    private fun noteStage(id: String, stage: String, now: Double, askedAt: Double) {
+        val before = told[id]
+        if (before != null && before != stage && askedAt >= toldAt.getValue(id)) broken.add("went_back: $id from $before to $stage")
+        if (stage == "withdrawn" && id !in asked && needed(id).none { it in asked }) broken.add("went_back: $id called withdrawn by nobody's wish")
+        if (stage == "done" && accepted[id]?.let { s -> (0 until s.tasks).any { "$id/$it" !in done } } == true) broken.add("not_done: $id")
+        if (stage == "withdrawn") withdrawn.putIfAbsent(id, now)
+        if ((stage == "done" || stage == "withdrawn") && before == null) {
+            told[id] = stage
+            toldAt[id] = now
         }
-        if (spec.id in accepted && (status == 400 || status == 422)) broken.add("forgotten: ${spec.id} got $status")
     }
 
-    fun shown(id: String, status: Int, stage: String?, now: Double) {
+    fun shown(id: String, status: Int, stage: String?, now: Double, askedAt: Double = now) {
         val spec = accepted[id]
-        if (status == 404 && spec != null) broken.add("forgotten: $id")
+        if (status == 404 && isKnownBy(id, askedAt)) broken.add("forgotten: $id")
         if (status != 200) return
         if (spec == null) {
             broken.add("invented: $id")
             return
         }
-        if (stage == "done" && (0 until spec.tasks).any { "$id/$it" !in done }) broken.add("not_done: $id")
-        val before = told[id]
-        if (stage == "withdrawn") withdrawn.putIfAbsent(id, now)
-        if (before != null && before != stage) broken.add("went_back: $id from $before to $stage")
-        if (stage == "withdrawn" && id !in asked && needed(id).none { it in asked }) broken.add("went_back: $id called withdrawn by nobody's wish")
-        if (stage == "done" || stage == "withdrawn") told[id] = stage
+        if (stage != null) noteStage(id, stage, now, askedAt)
         if (stage == "pending" || stage == "running") needed(id).forEach { name ->
             val since = withdrawn[name]?.takeIf { told[name] == "withdrawn" } ?: return@forEach
             if (now > maxOf(since, acceptedAt[id] ?: now) + settings.workers.cancelS) broken.add("orphaned: $id is $stage after $name was withdrawn")
@@ -104,12 +133,18 @@
     private var anyTold = Double.NEGATIVE_INFINITY
     private val unheardSince = HashMap<String, Double>()
 
+    /** From when on all troubles are over: each job by itself has to be told of then, however others fare. */
+    var calmFrom = Double.POSITIVE_INFINITY
+
     /** A user has asked for [id] and was told, or was not in time; while nobody is told anything, that is an outage. */
     fun polled(id: String, told: Boolean, now: Double) {
         if (told) {
             anyTold = now
             unheardSince.remove(id)
-        } else if (now - anyTold > OUTAGE_S) {
+        } else if (now - maxOf(unheardSince.getOrPut(id) { now }, calmFrom) > FORGOTTEN_IN_CALM_S) {
+            broken.add("forgotten: no question about $id was answered from ${unheardSince[id]} to $now, troubles over")
+            unheardSince[id] = now
+        } else if (now - anyTold > OUTAGE_S && calmFrom > now) {
             unheardSince.clear()
         } else if (now - unheardSince.getOrPut(id) { now } > FORGOTTEN_S) {
             broken.add("forgotten: no poll for $id was answered from ${unheardSince[id]} to $now")
@@ -122,13 +157,11 @@
         asked.add(id)
     }
 
-    fun withdrawAnswered(id: String, stage: String, now: Double) {
-        if (stage == "withdrawn") withdrawn.putIfAbsent(id, now)
-        told[id] = stage
-    }
+    fun withdrawAnswered(id: String, stage: String, now: Double, askedAt: Double = now) = noteStage(id, stage, now, askedAt)
 
     private companion object {
         const val FORGOTTEN_S = 90.0
+        const val FORGOTTEN_IN_CALM_S = 75.0
         const val OUTAGE_S = 5.0
     }
 }
--- a/src/main/kotlin/plankwall/lab/SimWorker.kt
+++ b/src/main/kotlin/plankwall/lab/SimWorker.kt
@@ -29,6 +29,20 @@
     private var waiting = false
     private var lastSent = -10.0
 
+    private var hungUntil = 0.0
+
+    /** Executes nothing, neither tasks nor commands, until it goes on; its lease runs out meanwhile as any other. */
+    val hung: Boolean get() = clock.now < hungUntil
+
+    fun hang(forS: Double) {
+        hungUntil = maxOf(hungUntil, clock.now + forS)
+    }
+
+    /** At once, or when it goes on: what came meanwhile is worked off then, in order, after the lease was looked at. */
+    fun whenAwake(action: () -> Unit) {
+        if (hung) clock.after(hungUntil - clock.now + 0.001) { whenAwake(action) } else action()
+    }
+
     /** Fails every task that it starts; those that run go on. */
     var sick = false
 
@@ -65,7 +79,7 @@
     }
 
     private fun send() {
-        if (waiting || !alive) return
+        if (waiting || !alive || hung) return
         waiting = true
         lastSent = clock.now
         val sentAt = clock.now
@@ -79,24 +93,24 @@
             target = (target + 1) % world.nodes.size
             clock.after(1.0) { send() }
         }
-        clock.after(PATIENCE_S) { failed() }
-        world.checkIn(this, to, report()) { status, body ->
-            if (settled || !alive) return@checkIn
-            if (status != 200 && status != 421) return@checkIn failed()
+        clock.after(PATIENCE_S) { whenAwake { failed() } }
+        world.checkIn(this, to, report()) { status, body -> whenAwake {
+            if (settled || !alive || clock.now - sentAt > PATIENCE_S) return@whenAwake
+            if (status != 200 && status != 421) return@whenAwake failed()
             if (status == 421) {
                 val leader = body.get("foreman")?.asText()
                 val node = world.nodes.indexOfFirst { it.name == leader }
-                if (node < 0 || node == target) return@checkIn failed()
+                if (node < 0 || node == target) return@whenAwake failed()
                 target = node
                 settled = true
                 waiting = false
                 clock.after(0.2) { send() }
-                return@checkIn
+                return@whenAwake
             }
             settled = true
             waiting = false
             if (sentSession == session) accept(body, sentAt)
-        }
+        } }
     }
 
     private fun accept(body: JsonNode, sentAt: Double) {
@@ -113,6 +127,7 @@
     /** A direct command: 200 if executed, 409 with nothing done otherwise; null from a machine that is gone. */
     fun command(body: JsonNode): Pair<Int, Report>? {
         if (!alive) return null
+        expire()
         if (body.get("baton").asLong() < token || body.get("watch").asLong() != session) return 409 to report()
         if (body.get("baton").asLong() > token) {
             token = body.get("baton").asLong()
@@ -140,25 +155,29 @@
 
     private fun start(name: String, attempt: Long) {
         val spec = world.submitted(name.substringBefore('/')) ?: return
+        world.checker.commanded(spec.id, clock.now)
         val task = Task(spec, name.substringAfter('/').toInt(), attempt)
         tasks[name] = task
         changed()
-        clock.after(0.5 + world.random.nextDouble()) {
-            if (!alive || tasks[name] !== task || task.stage == TaskStage.EXITED) return@after
+        clock.after(0.5 + world.random.nextDouble()) { whenAwake {
+            expire()
+            if (!alive || tasks[name] !== task || task.stage == TaskStage.EXITED) return@whenAwake
             task.stage = TaskStage.RUNNING
             if (sick || spec.id in world.mistaken) {
                 end(name, task, ExitCause.ERROR)
-                return@after
+                return@whenAwake
             }
             world.checker.on(name, spec, this, clock.now)
             changed()
-            if (spec.shape != Shape.SERVICE) clock.after(spec.estimateS) {
+            if (spec.shape != Shape.SERVICE) clock.after(spec.estimateS) { whenAwake {
+                expire()
                 if (alive && tasks[name] === task && task.stage == TaskStage.RUNNING) {
                     world.checker.completed(name)
+                    world.onCompleted(spec.id)
                     end(name, task, ExitCause.DONE)
                 }
-            }
-        }
+            } }
+        } }
     }
 
     private fun end(name: String, task: Task, cause: ExitCause) {
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -35,6 +35,7 @@
 import plankwall.wire.Report
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
+import plankwall.wire.Write
 import java.util.Random
 
 /** A whole site in virtual time: real cores, everything else a stand-in, faults by seed. */
@@ -86,9 +87,71 @@
     /** Machines whose reports arrive, while answers and direct commands to them are lost. */
     val deaf = HashSet<String>()
 
+    /** Machines that reach no node, while direct commands reach them. */
+    val mute = HashSet<String>()
+
     /** Share of the workers' reports of which a copy arrives again, up to two leases later. */
     var lateReports = 0.0
 
+    /** Share of the workers' reports of which a copy is kept and reaches every node as the next leader begins, and again a little later. */
+    var copiesForNext = 0.0
+    private val copies = ArrayList<Pair<SimWorker, Report>>()
+
+    /** Share of transactions that are carried out at once and whose answer is lost. */
+    var lostAnswers = 0.0
+
+    /** How often each trouble took hold: a test of a meeting says nothing where it did not. */
+    val felt = HashMap<String, Int>()
+
+    private fun feel(what: String) {
+        felt.merge(what, 1, Int::plus)
+    }
+
+    /** How many times a node has begun to lead. */
+    var wins = 0
+        private set
+
+    val users = ImpatientUsers(this)
+
+    /** Users ask at all nodes within milliseconds, and repeat what they asked for, right after a job was accepted, ended or cancelled. */
+    var closeLooks = false
+
+    /** Share of the jobs that end which are cancelled at that moment. */
+    var cancelAtEnd = 0.0
+    val cancelledAtEnd = HashSet<String>()
+    private val completed = HashMap<String, Int>()
+
+    /** A task of [id] has come to its end; to be told of each once. */
+    fun onCompleted(id: String) {
+        if (completed.merge(id, 1, Int::plus) != specs[id]?.tasks) return
+        if (cancelAtEnd > 0 && random.nextDouble() < cancelAtEnd) {
+            feel("cancelled at its end")
+            cancelledAtEnd.add(id)
+            clock.after(random.nextDouble() * 0.6) { withdraw(id) }
+        }
+        if (closeLooks) listOf(0.0, 0.05, 0.3, 0.6, 1.2).forEach { clock.after(it) { users.look(id) } }
+    }
+
+    private fun kindOf(write: Write): String = when (write) {
+        is Write.Put -> write.key
+        is Write.Remove -> write.key
+    }.substringBefore('/')
+
+    private fun won(node: Node) {
+        wins++
+        val now = copies.toList()
+        copies.clear()
+        now.forEachIndexed { i, (worker, report) ->
+            // At once, as it begins, or once it has acted; by then the worker may be gone.
+            listOf(0.01, if (i % 2 == 0) 0.3 else 4.0).forEach { delay ->
+                clock.after(delay) {
+                    feel("copies for the next")
+                    nodes.filter { it.up }.forEach { n -> n.ask({ Input.CheckIn(it, report) }) { status, _ -> if (n === node && status == 200) feel("copies taken of ${worker.id}") } }
+                }
+            }
+        }
+    }
+
     /** Pairs that can't reach each other, as "n0-state", "n1-workers", "n2-peers". */
     val cuts = HashSet<String>()
 
@@ -161,7 +224,10 @@
                 if (input != Input.Tick) backlog.add(life to input)
                 return
             }
-            for (effect in c.step(clock.now * skew + 1000, wallMs(), input)) {
+            val led = c.leading
+            val effects = c.step(clock.now * skew + 1000, wallMs(), input)
+            if (c.leading && !led) won(this)
+            for (effect in effects) {
                 perform(effect)
                 // The rest of what it wanted done is lost with the process.
                 if (core == null) return
@@ -205,11 +271,18 @@
         }
 
         private fun command(e: Effect.WorkerPost, mine: Int) {
-            val worker = cloud.worker(e.address)?.takeIf { it.group.zone !in cutZones && it.id !in deaf } ?: return
+            val worker = cloud.worker(e.address)?.takeIf { it.group.zone !in cutZones } ?: return
+            if (worker.id in deaf) return feel("commands lost")
             val zone = worker.group.zone
+            val sentAt = clock.now
             wiring.carry(name, worker.id, zone, delayS = 0.01) {
-                val answer = worker.command(SimWorker.json.readTree(e.body)) ?: return@carry
-                wiring.carry(worker.id, name, zone, delayS = 0.01) { if (life == mine) feed(Input.WorkerReply(e.machine, answer.second)) }
+                if (worker.hung) feel("commands to the hung")
+                worker.whenAwake {
+                    val answer = worker.command(SimWorker.json.readTree(e.body))
+                    if (answer != null && clock.now - sentAt < COMMAND_PATIENCE_S) {
+                        wiring.carry(worker.id, name, zone, delayS = 0.01) { if (life == mine) feed(Input.WorkerReply(e.machine, answer.second)) }
+                    }
+                }
             }
         }
 
@@ -220,9 +293,15 @@
                 "$name-state" in cuts -> answer(StateResult.Refused)
                 e.op is StateOp.Txn && random.nextDouble() < lateWrites -> {
                     // The caller gives up; the store executes it long after.
+                    feel("late writes")
                     later(mine, 1.5) { Input.StateReply(e.call, StateResult.Unknown) }
                     clock.after(random.nextDouble() * 30) { state.run(e.op) {} }
                 }
+                e.op is StateOp.Txn && lostAnswers > 0 && random.nextDouble() < lostAnswers -> {
+                    feel("lost answers")
+                    later(mine, 1.5) { Input.StateReply(e.call, StateResult.Unknown) }
+                    clock.after(0.005) { state.run(e.op) { if (it is StateResult.Committed) e.op.writes.forEach { w -> feel("lost answer: ${kindOf(w)}") } } }
+                }
                 else -> overWire(e, mine)
             }
         }
@@ -269,16 +348,21 @@
     fun checkIn(worker: SimWorker, node: Node, report: Report, then: (Int, JsonNode) -> Unit) {
         if (!node.up || "${node.name}-workers" in cuts || worker.group.zone in cutZones) return
         check(worker.id == report.machine)
+        if (worker.id in mute) return feel("reports lost")
+        if (copiesForNext > 0 && copies.size < MAX_COPIES && random.nextDouble() < copiesForNext) copies.add(worker to report)
         val sentAt = clock.now
         val zone = worker.group.zone
         if (lateReports > 0 && random.nextDouble() < lateReports) {
-            clock.after(2.0 + random.nextDouble() * settings.workers.leaseS * 2) { if (node.up) node.ask({ Input.CheckIn(it, report) }) { _, _ -> } }
+            clock.after(2.0 + random.nextDouble() * settings.workers.leaseS * 2) {
+                feel("late reports")
+                if (node.up) node.ask({ Input.CheckIn(it, report) }) { _, _ -> }
+            }
         }
         wiring.carry(worker.id, node.name, zone, refused = { then(503, SimWorker.json.nullNode()) }) {
             if (node.up && clock.now - sentAt < SimWorker.PATIENCE_S) onReached(worker, node)
             if (node.up) node.ask({ Input.CheckIn(it, report) }) { status, body ->
                 if (random.nextDouble() < loss) return@ask
-                if (worker.id in deaf) return@ask
+                if (worker.id in deaf) return@ask feel("answers lost")
                 if (status == 200) onServed(worker, node)
                 wiring.carry(node.name, worker.id, zone, refused = { then(503, SimWorker.json.nullNode()) }) { then(status, SimWorker.json.readTree(body)) }
             }
@@ -322,10 +406,12 @@
         val first = random.nextInt(nodes.size)
         val node = nodes.indices.map { nodes[(first + it) % nodes.size] }.firstOrNull { it.up } ?: nodes[first]
         var answered = false
-        node.ask({ Input.Submit(it, spec) }) { status, _ ->
+        val askedAt = clock.now
+        node.ask({ Input.Submit(it, spec) }) { status, body ->
             answered = true
-            checker.submitted(spec, status, clock.now)
+            checker.submitted(spec, status, clock.now, stageIn(status, body), askedAt)
             if (status == 200 || status == 201) {
+                if (closeLooks) listOf(0.0, 0.002, 0.03).forEach { clock.after(it) { users.look(spec.id) } }
                 clock.after(1.0) { poll(spec.id) }
                 if (withdrawAfter != null) clock.after(withdrawAfter) { withdraw(spec.id) }
             } else if (status >= 429) {
@@ -335,24 +421,49 @@
         clock.after(5.0) { if (!answered) submitTry(spec, withdrawAfter) }
     }
 
+    private fun stageIn(status: Int, body: ByteArray): String? = if (status >= 300) null else SimWorker.json.readTree(body).get("stage")?.asText()
+
+    /** Asks [node] for a job once; whether it answered is for [then]. */
+    fun show(id: String, node: Node, then: (answered: Boolean) -> Unit = {}) {
+        val askedAt = clock.now
+        node.ask({ Input.Show(it, id) }) { status, body ->
+            checker.shown(id, status, stageIn(status, body), clock.now, askedAt)
+            then(status == 200 || status == 404)
+        }
+    }
+
+    /** Submits once, and again whatever came of it. */
+    fun submitOnce(spec: JobSpec, node: Node, then: (status: Int) -> Unit = {}) {
+        val askedAt = clock.now
+        node.ask({ Input.Submit(it, spec) }) { status, body ->
+            checker.submitted(spec, status, clock.now, stageIn(status, body), askedAt)
+            then(status)
+        }
+    }
+
+    fun withdrawOnce(id: String, node: Node, then: (status: Int) -> Unit = {}) {
+        val askedAt = clock.now
+        checker.withdrawAsked(id)
+        node.ask({ Input.Withdraw(it, id) }) { status, body ->
+            stageIn(status, body)?.let {
+                val first = checker.stageTold(id) == null
+                checker.withdrawAnswered(id, it, clock.now, askedAt)
+                if (closeLooks && first && it == "withdrawn") listOf(0.0, 0.002, 0.03).forEach { s -> clock.after(s) { users.look(id, withdrawn = true) } }
+            }
+            then(status)
+        }
+    }
+
     fun poll(id: String) {
         var answered = false
-        nodes[random.nextInt(nodes.size)].ask({ Input.Show(it, id) }) { status, body ->
-            answered = status == 200 || status == 404
-            checker.shown(id, status, SimWorker.json.readTree(body).get("stage")?.asText(), clock.now)
-        }
+        show(id, nodes[random.nextInt(nodes.size)]) { answered = it }
         clock.after(POLL_PATIENCE_S) { checker.polled(id, answered, clock.now) }
         clock.after(POLL_EVERY_S / pollFactor) { poll(id) }
     }
 
     fun withdraw(id: String) {
         var answered = false
-        checker.withdrawAsked(id)
-        nodes[random.nextInt(nodes.size)].ask({ Input.Withdraw(it, id) }) { status, body ->
-            if (status != 200) return@ask
-            answered = true
-            checker.withdrawAnswered(id, SimWorker.json.readTree(body).get("stage").asText(), clock.now)
-        }
+        withdrawOnce(id, nodes[random.nextInt(nodes.size)]) { if (it == 200) answered = true }
         clock.after(2.0) { if (!answered) withdraw(id) }
     }
 
@@ -369,6 +480,8 @@
         private const val CLOUD_PATIENCE_S = 5.0
         private const val POLL_EVERY_S = 5.0
         private const val POLL_PATIENCE_S = 2.0
+        private const val COMMAND_PATIENCE_S = 3.0
+        private const val MAX_COPIES = 60
         private val BIG = Resources(16_000, 4_000, 64_000)
         val CATALOG = Catalog(listOf(MachineType("box", BIG, 100.0, 1.0, 10.0, 3.0, 10.0, listOf("a", "b"))))
 
--- a/src/test/kotlin/plankwall/RuleCheckerTest.kt
+++ b/src/test/kotlin/plankwall/RuleCheckerTest.kt
@@ -24,6 +24,7 @@
         "wrong_place" to { start(World.job(1, spot = false), 0, spotWorker) },
         "ran_cancelled" to {
             start(World.job(1), 0, a)
+            withdrawAsked("job-000001")
             withdrawAnswered("job-000001", "withdrawn", 10.0)
             checkWithdrawn(10.1 + world.settings.workers.cancelS)
         },
--- a/src/test/kotlin/plankwall/meetings/GapTest.kt
+++ b/src/test/kotlin/plankwall/meetings/GapTest.kt
@@ -67,6 +67,7 @@
     @ParameterizedTest(name = "{0}")
     @CsvSource(
         "as it stands, false",
+        "at the very moment, false",
         "the peers can't be heard either, true",
         "whoever confirmed crashes right after, true",
         "whoever confirmed crashes and is back at once,",
@@ -95,9 +96,9 @@
                 world.cuts.add("${first.name}-peers")
                 world.clock.after(10.0) { gap(by) }
             }
-            else -> world.clock.after(0.5) { withdraw(by, 1) { after(how, by) } }
+            else -> world.clock.after(if (how == "at the very moment") 0.0 else 0.5) { withdraw(by, 1) { after(how, by) } }
         }
-        if (!how.startsWith("a leader") && !how.startsWith("the old leader")) world.clock.after(1.5) { outage(60.0 - 8.0) }
+        if (!how.startsWith("a leader") && !how.startsWith("the old leader")) world.clock.after(if (how == "at the very moment") 1.0 else 1.5) { outage(60.0 - 8.0) }
         if (how == "the peers can't be heard either") world.cuts.add("${first.name}-peers")
         if (how == "twice in a row") {
             withdrawals = 2
--- a/src/test/kotlin/plankwall/meetings/MeetingDaysTest.kt
+++ b/src/test/kotlin/plankwall/meetings/MeetingDaysTest.kt
@@ -19,6 +19,7 @@
         val bad = days.filter { it.broken.isNotEmpty() || it.unserved.isNotEmpty() }
         assertEquals(emptyList<String>(), bad.map { "day ${it.seed}: ${it.broken.take(3)} unserved ${it.unserved}; ${it.troubles}" })
         assertTrue(days.all { it.withdrawn >= 20 })
+        assertTrue(days.sumOf { it.felt.size } >= days.size, "troubles took hold")
     }
 
     /** The leader crashes [crashAfterS] after [deaf] machines stopped hearing answers; what ran there starts again elsewhere. */
