--- a/src/main/kotlin/plankwall/audit/Sealer.kt
+++ b/src/main/kotlin/plankwall/audit/Sealer.kt
@@ -2,7 +2,7 @@
 
 import org.slf4j.LoggerFactory
 import plankwall.core.step.Context
-import plankwall.core.step.ReignPower
+import plankwall.core.step.TermPower
 import plankwall.identity.SigningKey
 import plankwall.wire.AccessKeys
 import plankwall.wire.Guard
@@ -25,7 +25,7 @@
     private var nextAt = 0.0
     private var busy = false
 
-    fun tick(power: ReignPower?) {
+    fun tick(power: TermPower?) {
         if (power == null || key == null || busy || ctx.now < nextAt || !power.mayWrite()) return
         if (epoch != power.epoch) {
             // Another leader may have sealed meanwhile.
--- a/src/main/kotlin/plankwall/cli/JobCommands.kt
+++ b/src/main/kotlin/plankwall/cli/JobCommands.kt
@@ -43,7 +43,7 @@
     @Parameters(paramLabel = "JOB", arity = "1..*", description = ["The jobs' ids."])
     lateinit var jobs: List<String>
 
-    @Option(names = ["--follow"], description = ["Show every change until all are done or withdrawn."])
+    @Option(names = ["--follow"], description = ["Show every change until all are done or cancelled."])
     var follow = false
 
     override fun call(): Int {
@@ -74,8 +74,8 @@
     }
 }
 
-@Command(name = "withdraw", description = ["Withdraw a job."], mixinStandardHelpOptions = true)
-class Withdraw : JobCommand() {
+@Command(name = "cancel", aliases = ["withdraw"], description = ["Cancel a job."], mixinStandardHelpOptions = true)
+class Cancel : JobCommand() {
     @Parameters(paramLabel = "JOB", description = ["The job's id."])
     lateinit var job: String
 
--- a/src/main/kotlin/plankwall/core/Controller.kt
+++ b/src/main/kotlin/plankwall/core/Controller.kt
@@ -38,7 +38,7 @@
     gate: ((Context) -> Gate)? = null,
 ) {
     private val ctx = Context(settings, tuning, incarnation, Random(seed))
-    private var reign: Reign? = null
+    private var term: LeadershipTerm? = null
     private val leadership: Leadership = Leadership(ctx, ::begin, ::end) { relay.turnUps }
     private val relay = WorkerRelay(ctx, leadership.picture, leadership.routing)
     private val market = Market(ctx)
@@ -48,7 +48,7 @@
     private var nextStatus = 0.0
 
     init {
-        leadership.cancellations.onLearned = { reign?.cancelled(it) }
+        leadership.cancellations.onLearned = { term?.cancelled(it) }
     }
 
     private val log = LoggerFactory.getLogger("workers")
@@ -69,7 +69,7 @@
             is Input.CloudReply -> ctx.out.resume(input.call, input.result)
             is Input.WorkerReply -> input.report?.let {
                 relay.reached(it.machine)
-                reign?.overheard(it)
+                term?.overheard(it)
             }
             is Input.PeerHeard -> when (val message = input.message) {
                 is PeerStatus -> leadership.notePeer(message)
@@ -97,31 +97,31 @@
         else gate.keep(input.request, input.proof, input.asked)
     }
 
-    private fun progressOf(id: String): JobProgress? = reign?.progressOf(id) ?: board[id]
+    private fun progressOf(id: String): JobProgress? = term?.progressOf(id) ?: board[id]
 
     private fun begin() {
         relay.leads()
-        reign = Reign(ctx, leadership, market).also { it.begin() }
+        term = LeadershipTerm(ctx, leadership, market).also { it.begin() }
     }
 
     private fun end() {
-        reign?.end()
-        reign = null
+        term?.end()
+        term = null
     }
 
     private fun tick() {
         ctx.runTimers()
         leadership.tick()
         market.tick()
-        reign?.tick()
+        term?.tick()
         front.tick()
-        gate?.tick(if (leadership.leading) reign?.power else null)
+        gate?.tick(if (leadership.leading) term?.power else null)
         relay.tick()
         if (ctx.now >= nextStatus) {
             nextStatus = ctx.now + 1.0
-            val links = leadership.links(relay.turnUps).copy(zones = reign?.zones().orEmpty())
+            val links = leadership.links(relay.turnUps).copy(zones = term?.zones().orEmpty())
             ctx.out.add(Effect.PeerSend(leadership.status(relay.strays, links)))
-            reign?.news()?.forEach { ctx.out.add(Effect.PeerSend(it)) }
+            term?.news()?.forEach { ctx.out.add(Effect.PeerSend(it)) }
         }
     }
 
@@ -134,7 +134,7 @@
     private fun checkIn(input: Input.CheckIn) {
         val refused = refused(input.from, input.report)
         if (refused != null) return ctx.out.answer(input.request, 403, JobCodec.error(refused))
-        reign?.isForeign(input.report)
+        term?.isForeign(input.report)
         val answer = answer(input.report, straight = true)
         if (answer == null) relay.checkIn(input)
         else ctx.out.answer(input.request, answer.status, answer.body, answer.retryAfterS)
@@ -145,26 +145,26 @@
         // Held back on the way: its worker has given up, and a newer report may be anywhere by now.
         if (leadership.picture.ageOf(message.echo) > LinkPicture.FRESH_S) return
         val refused = refused(message.address, message.report)
-        reign?.isForeign(message.report)
+        term?.isForeign(message.report)
         val answer = if (refused != null) WorkerAnswer(403, JobCodec.error(refused)) else answer(message.report, straight = false)
         val told = answer ?: WorkerAnswer(503, JobCodec.error("does not lead"))
         ctx.out.add(Effect.PeerSend(RelayedAnswer(ctx.settings.node, message.id, told.status, told.body), message.from))
     }
 
     private fun refused(from: String, report: Report): String? =
-        gate?.workerRefused(from, report.address, reign?.listedAddress(report.machine))
+        gate?.workerRefused(from, report.address, term?.listedAddress(report.machine))
             ?.also { log.warn("report of {} from {} refused: {}", report.machine, from, it) }
 
     private class WorkerAnswer(val status: Int, val body: ByteArray, val retryAfterS: Int? = null)
 
     /** The leader's answer; null where this node may not give one. */
     private fun answer(report: Report, straight: Boolean): WorkerAnswer? {
-        val current = reign
+        val current = term
         if (current == null || !leadership.mayAnswer) return null
         return when (val word = current.checkIn(report, straight)) {
-            is Reign.Word.Orders -> WorkerAnswer(200, WorkerCodec.answer(current.tokenFor(report.machine), word.orders))
-            Reign.Word.ComeHere -> WorkerAnswer(421, WorkerCodec.reportTo(ctx.settings.node))
-            Reign.Word.Refused -> WorkerAnswer(503, JobCodec.error("an old report"), 1)
+            is LeadershipTerm.Word.Orders -> WorkerAnswer(200, WorkerCodec.answer(current.tokenFor(report.machine), word.orders))
+            LeadershipTerm.Word.ComeHere -> WorkerAnswer(421, WorkerCodec.reportTo(ctx.settings.node))
+            LeadershipTerm.Word.Refused -> WorkerAnswer(503, JobCodec.error("an old report"), 1)
         }
     }
 }
--- a/src/main/kotlin/plankwall/core/Reign.kt
+++ b/src/main/kotlin/plankwall/core/LeadershipTerm.kt
@@ -13,11 +13,11 @@
 import plankwall.core.outlook.Outlook
 import plankwall.core.placing.Placer
 import plankwall.core.relay.DirectReach
-import plankwall.core.relay.HandOver
+import plankwall.core.relay.LeadershipTransfer
 import plankwall.core.rental.RentalLoop
 import plankwall.core.step.Context
 import plankwall.core.step.Effect
-import plankwall.core.step.ReignPower
+import plankwall.core.step.TermPower
 import plankwall.core.workers.WorkerDesk
 import plankwall.wire.JobProgress
 import plankwall.wire.JobRecord
@@ -37,8 +37,8 @@
  * All that a node knows and does while it leads, from winning to yielding. A new one begins with nothing and reads
  * everything from the store after the win, so that nothing remembered from an earlier time can be wrong.
  */
-class Reign(private val ctx: Context, private val leadership: Leadership, private val market: Market) {
-    private val log = LoggerFactory.getLogger("reign")
+class LeadershipTerm(private val ctx: Context, private val leadership: Leadership, private val market: Market) {
+    private val log = LoggerFactory.getLogger("term")
     private val store = LeaderStore(ctx, leadership)
     private val fleet = Fleet(ctx)
     private val cancellations = leadership.cancellations
@@ -50,7 +50,7 @@
     private val upgrade = Upgrade(leadership, store)
     private val teller = ProgressTeller(book)
     private val reach = DirectReach(ctx, fleet, outlook)
-    private val handOver = HandOver(ctx, leadership, fleet, outlook, reach)
+    private val transfer = LeadershipTransfer(ctx, leadership, fleet, outlook, reach)
     private var loaded = false
     private var savingCatalog = false
 
@@ -120,7 +120,7 @@
         announce()
         probe()
         reach.tick()
-        handOver.tick()
+        transfer.tick()
     }
 
     /** What becomes of a check-in. */
@@ -232,7 +232,7 @@
     fun listedAddress(machine: String): String? = fleet.find(machine)?.listedAddress?.takeIf { it.isNotEmpty() }
 
     /** What the gate may do while this lasts: it comes after all that somebody waits for. */
-    val power: ReignPower = object : ReignPower {
+    val power: TermPower = object : TermPower {
         override val epoch: Long get() = store.epoch
 
         override fun mayWrite(): Boolean = loaded && store.room() > store.scarce
--- a/src/main/kotlin/plankwall/core/relay/HandOver.kt
+++ b/src/main/kotlin/plankwall/core/relay/LeadershipTransfer.kt
@@ -10,7 +10,7 @@
  * are as good as straight ones, so a link that is cut for a while moves nothing; a lead that changes hands costs everything
  * that a leader learns.
  */
-class HandOver(private val ctx: Context, private val leadership: Leadership, private val fleet: Fleet, private val outlook: Outlook, private val reach: DirectReach) {
+class LeadershipTransfer(private val ctx: Context, private val leadership: Leadership, private val fleet: Fleet, private val outlook: Outlook, private val reach: DirectReach) {
     private val times = ctx.settings.workers
     private var mostlyThroughSince = Double.NaN
 
--- a/src/main/kotlin/plankwall/core/step/Gate.kt
+++ b/src/main/kotlin/plankwall/core/step/Gate.kt
@@ -62,7 +62,7 @@
 }
 
 /** The leader's means, lent to the gate while it leads. */
-interface ReignPower {
+interface TermPower {
     val epoch: Long
 
     /** Whether something may be stored that nobody waits for. */
@@ -83,5 +83,5 @@
     fun workerRefused(address: String, claimed: String, listed: String?): String?
 
     /** [power]: null while this node does not lead. */
-    fun tick(power: ReignPower?)
+    fun tick(power: TermPower?)
 }
--- a/src/main/kotlin/plankwall/gate/Gatehouse.kt
+++ b/src/main/kotlin/plankwall/gate/Gatehouse.kt
@@ -11,8 +11,8 @@
 import plankwall.core.step.Gate
 import plankwall.core.step.KeeperRequest
 import plankwall.core.step.Proof
-import plankwall.core.step.ReignPower
 import plankwall.core.step.RequestId
+import plankwall.core.step.TermPower
 import plankwall.core.step.Verdict
 import plankwall.core.step.Visitor
 import plankwall.identity.Claims
@@ -54,7 +54,7 @@
     /** Who may open a link as a peer, by the rights that hold now. */
     val peerNetworks: Networks? get() = book.policy.peers
 
-    override fun tick(power: ReignPower?) {
+    override fun tick(power: TermPower?) {
         epoch = power?.epoch ?: 0L
         book.tick()
         trail.tick()
--- a/src/main/kotlin/plankwall/gate/RevocationSweep.kt
+++ b/src/main/kotlin/plankwall/gate/RevocationSweep.kt
@@ -5,7 +5,7 @@
 import plankwall.audit.TrailWriter
 import plankwall.core.step.Action
 import plankwall.core.step.Context
-import plankwall.core.step.ReignPower
+import plankwall.core.step.TermPower
 import plankwall.core.step.Verdict
 import plankwall.model.factsFor
 import plankwall.wire.AccessKeys
@@ -36,7 +36,7 @@
     private var busy = false
     private var retryAt = 0.0
 
-    fun tick(power: ReignPower?) {
+    fun tick(power: TermPower?) {
         if (power == null) return
         if (epoch != power.epoch) {
             epoch = power.epoch
@@ -45,8 +45,8 @@
         val version = book.policy.version
         if (busy || version == 0L || applied >= version || ctx.now < retryAt || !power.mayWrite()) return
         busy = true
-        val reign = epoch
-        if (applied != UNREAD) page(reign, null, Pass(version)) else ctx.out.state(StateOp.Get(AccessKeys.APPLIED)) { result ->
+        val term = epoch
+        if (applied != UNREAD) page(term, null, Pass(version)) else ctx.out.state(StateOp.Get(AccessKeys.APPLIED)) { result ->
             if (result is StateResult.Item) applied = (result.item?.value as? RightsApplied)?.version ?: 0L else pause()
             busy = false
         }
@@ -62,21 +62,21 @@
         var failed = false
     }
 
-    private fun page(reign: Long, after: String?, pass: Pass): Unit = ctx.out.state(StateOp.Range(Keys.JOBS, after, PAGE)) { result ->
-        if (result !is StateResult.Items || reign != epoch) {
+    private fun page(term: Long, after: String?, pass: Pass): Unit = ctx.out.state(StateOp.Range(Keys.JOBS, after, PAGE)) { result ->
+        if (result !is StateResult.Items || term != epoch) {
             pass.failed = true
             pass.read = true
-            settle(reign, pass)
+            settle(term, pass)
             return@state
         }
-        result.items.forEach { examine(reign, it, pass) }
-        if (result.more && result.items.isNotEmpty()) page(reign, result.items.last().key, pass) else {
+        result.items.forEach { examine(term, it, pass) }
+        if (result.more && result.items.isNotEmpty()) page(term, result.items.last().key, pass) else {
             pass.read = true
-            settle(reign, pass)
+            settle(term, pass)
         }
     }
 
-    private fun examine(reign: Long, item: StateItem, pass: Pass) {
+    private fun examine(term: Long, item: StateItem, pass: Pass) {
         val record = item.value as? JobRecord ?: return
         val owned = record.owned ?: return
         if (record.withdrawnMs > 0 || owned.revokedBy > 0) return
@@ -86,7 +86,7 @@
         val withdraw = book.policy.withdrawsOnDeny(owned.owner, Action.SUBMIT, facts) ?: owned.withdrawOnRevoke
         val marked = record.copy(owned = owned.copy(revokedBy = pass.version), withdrawnMs = if (withdraw) ctx.time.wallMs else 0)
         val e = entry(Gatehouse.Who(owned.owner, "", ""), "revoke", record.spec.id, verdict, 0, if (withdraw) "withdraw" else "finish")
-        val guards = listOf(Guard(item.key, item.version), Guard(Keys.LEADER, reign))
+        val guards = listOf(Guard(item.key, item.version), Guard(Keys.LEADER, term))
         pass.open++
         trail.change(e, StateOp.Txn(guards, listOf(Write.Put(item.key, marked)))) { result ->
             pass.open--
@@ -96,18 +96,18 @@
                 // Changed meanwhile, or nobody knows: looked at again in the next pass.
                 pass.failed = true
             }
-            settle(reign, pass)
+            settle(term, pass)
         }
     }
 
-    private fun settle(reign: Long, pass: Pass) {
+    private fun settle(term: Long, pass: Pass) {
         if (!pass.read || pass.open > 0 || !busy) return
-        if (pass.failed || reign != epoch || book.policy.version != pass.version) {
+        if (pass.failed || term != epoch || book.policy.version != pass.version) {
             busy = false
             pause()
             return
         }
-        val guards = listOf(Guard(Keys.LEADER, reign), Guard(AccessKeys.HEAD, book.stamp))
+        val guards = listOf(Guard(Keys.LEADER, term), Guard(AccessKeys.HEAD, book.stamp))
         ctx.out.state(StateOp.Txn(guards, listOf(Write.Put(AccessKeys.APPLIED, RightsApplied(pass.version))))) { result ->
             busy = false
             if (result is StateResult.Committed) applied = pass.version else pause()
