Tests: every field of a submission, what a first word may prove, planted violations of the new checks, stalled jobs

WorkerDeskTest: a copy of an earlier session hides no machine, what never left for a quiet machine is taken back, no absence without the token. The laboratory's checker: a job that waits 90 s in calm beside room for it.

--- a/src/main/kotlin/plankwall/lab/RuleChecker.kt
+++ b/src/main/kotlin/plankwall/lab/RuleChecker.kt
@@ -3,6 +3,7 @@
 import plankwall.model.JobSpec
 import plankwall.model.Resources
 import plankwall.model.Settings
+import plankwall.model.Shape
 
 /** Watches a simulated day from outside and notes every broken rule of PROTOCOL that it can see. */
 class RuleChecker(private val settings: Settings) {
@@ -130,6 +131,41 @@
         checkWithdrawn(now)
     }
 
+    private val stallingSince = HashMap<String, Double>()
+
+    /**
+     * In calm, no job is left waiting while one of [machines] that fits has room and its team is under its limit. [machines]: those
+     * that are sound and reached, with what each has.
+     */
+    fun checkStalled(machines: Map<SimWorker, Resources>, now: Double) {
+        if (now < calmFrom) return
+        val used = HashMap<SimWorker, Resources>()
+        on.values.forEach { p -> used.merge(p.worker, p.spec.need, Resources::plus) }
+        val byJob = on.entries.groupBy({ it.key.substringBefore('/') }, { it.value.worker.group.zone })
+        for ((id, spec) in accepted) {
+            val zones = byJob[id].orEmpty()
+            val waits = told[id] == null && id !in asked && spec.dependencies.all { isDone(it) } &&
+                (0 until spec.tasks).any { "$id/$it" !in done && "$id/$it" !in on } && (spec.shape != Shape.GANG || zones.isEmpty())
+            val fits = waits && isUnderLimit(spec) && machines.any { (worker, capacity) ->
+                val group = worker.group
+                (spec.types == null || group.type in spec.types) && (spec.zone ?: group.zone) == group.zone && (spec.spot || !group.spot) &&
+                    (!spec.oneZone || zones.all { it == group.zone }) && (!spec.spread || zones.count { it == group.zone } < (spec.tasks + 1) / 2) &&
+                    (spec.need * (if (spec.shape == Shape.GANG) spec.tasks else 1)).fitsIn(capacity - (used[worker] ?: Resources.NONE))
+            }
+            if (!fits) stallingSince.remove(id)
+            else if (now - stallingSince.getOrPut(id) { now } > STALLED_S) {
+                broken.add("stalled: $id has waited from ${stallingSince[id]} to $now beside room for it")
+                stallingSince[id] = now
+            }
+        }
+    }
+
+    private fun isUnderLimit(spec: JobSpec): Boolean {
+        val team = settings.teams.first { it.name == spec.team }
+        val used = on.values.filter { it.spec.team == spec.team }.fold(Resources.NONE) { sum, p -> sum + p.spec.need }
+        return team.allows(used + spec.need * (if (spec.shape == Shape.GANG) spec.tasks else 1))
+    }
+
     private var anyTold = Double.NEGATIVE_INFINITY
     private val unheardSince = HashMap<String, Double>()
 
@@ -162,6 +198,7 @@
     private companion object {
         const val FORGOTTEN_S = 90.0
         const val FORGOTTEN_IN_CALM_S = 75.0
+        const val STALLED_S = 90.0
         const val OUTAGE_S = 5.0
     }
 }
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -166,6 +166,7 @@
     init {
         nodes.forEach { it.start() }
         clock.every(0.5) { checker.checkWithdrawn(clock.now) }
+        clock.every(5.0) { checker.checkStalled(sound(), clock.now) }
     }
 
     inner class Node(val name: String, private val own: Settings) {
@@ -369,6 +370,10 @@
         }
     }
 
+    private fun sound(): Map<SimWorker, Resources> = cloud.workers
+        .filter { !it.hung && !it.sick && it.id !in deaf && it.id !in mute && it.group.zone !in cutZones }
+        .associateWith { cloud.catalog[it.group.type]?.capacity ?: Resources.NONE }
+
     fun submitted(id: String): JobSpec? = specs[id]
 
     /** A worker forgets that a task of [id] is done. If nobody has stored it, the next leader runs the task again. */
--- a/src/test/kotlin/plankwall/RuleCheckerTest.kt
+++ b/src/test/kotlin/plankwall/RuleCheckerTest.kt
@@ -1,6 +1,7 @@
 package plankwall
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import plankwall.model.GroupKey
@@ -42,6 +43,44 @@
             completed("job-000001/0")
             start(World.job(2, after = listOf(1)), 0, a)
         },
+        "forgotten in calm" to {
+            submitted(World.job(1), 201)
+            calmFrom = 50.0
+            // However others fare: nobody is told anything.
+            (0..26).forEach { polled("job-000001", false, 20.0 + it * 4.0) }
+            check(broken.isEmpty())
+            polled("job-000001", false, 130.0)
+        },
+        "forgotten on repeating" to { submitted(World.job(1), 201, 5.0); submitted(World.job(1), 404, 9.0, null, 8.0) },
+        "forgotten as invalid" to { submitted(World.job(1), 201, 5.0); submitted(World.job(1), 400, 9.0, null, 8.0) },
+        "went_back on repeating" to {
+            submitted(World.job(1, tasks = 1), 201, 5.0, "pending")
+            completed("job-000001/0")
+            shown("job-000001", 200, "done", 20.0)
+            // Asked before anybody was told, that is no older answer.
+            submitted(World.job(1, tasks = 1), 200, 20.01, "pending", 19.99)
+            check(broken.isEmpty())
+            submitted(World.job(1, tasks = 1), 200, 20.02, "pending", 20.01)
+        },
+        "went_back on cancelling" to {
+            submitted(World.job(1, tasks = 1), 201, 5.0)
+            completed("job-000001/0")
+            shown("job-000001", 200, "done", 20.0)
+            withdrawAsked("job-000001")
+            withdrawAnswered("job-000001", "withdrawn", 21.0)
+        },
+        "stalled" to {
+            submitted(World.job(1), 201)
+            submitted(World.job(2, tasks = 4), 201)
+            calmFrom = 10.0
+            // Beside a full machine a job may wait; and one that runs whole does not wait.
+            repeat(4) { start(World.job(2, tasks = 4), it, a) }
+            (0..20).forEach { checkStalled(mapOf(a to World.CATALOG.types.first().capacity), 20.0 + it * 5.0) }
+            check(broken.isEmpty())
+            off("job-000002/0", a, 121.0)
+            completed("job-000002/0")
+            (0..19).forEach { checkStalled(mapOf(a to World.CATALOG.types.first().capacity), 125.0 + it * 5.0) }
+        },
         "orphaned" to {
             submitted(World.job(1), 201)
             submitted(World.job(2, after = listOf(1)), 201)
@@ -54,11 +93,22 @@
     )
 
     @ParameterizedTest
-    @ValueSource(strings = ["ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented", "not_done", "went_back", "too_early", "orphaned"])
+    @ValueSource(strings = ["ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented", "not_done", "went_back", "too_early", "orphaned",
+        "forgotten in calm", "forgotten on repeating", "forgotten as invalid", "went_back on repeating", "went_back on cancelling", "stalled"])
     fun `sees a planted violation`(rule: String) {
         val checker = RuleChecker(world.settings)
         plants.getValue(rule)(checker)
-        assertEquals(listOf(rule), checker.broken.map { it.substringBefore(':') }.distinct())
+        assertEquals(listOf(rule.substringBefore(' ')), checker.broken.map { it.substringBefore(':') }.distinct())
+    }
+
+    @Test
+    fun `counts commands to start after a confirmed cancellation`() {
+        val checker = RuleChecker(world.settings)
+        checker.withdrawAsked("job-000001")
+        checker.commanded("job-000001", 9.0)
+        checker.withdrawAnswered("job-000001", "withdrawn", 10.0)
+        checker.commanded("job-000001", 10.5)
+        assertEquals(1, checker.startsAfterCancel)
     }
 
     @ParameterizedTest
--- a/src/test/kotlin/plankwall/WireTest.kt
+++ b/src/test/kotlin/plankwall/WireTest.kt
@@ -1,5 +1,6 @@
 package plankwall
 
+import com.fasterxml.jackson.databind.node.ObjectNode
 import java.util.BitSet
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
@@ -9,6 +10,7 @@
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import plankwall.core.lead.StoreLimits
+import plankwall.lab.SimWorker
 import plankwall.model.GroupKey
 import plankwall.model.JobStage
 import plankwall.model.JobView
@@ -40,9 +42,9 @@
 import plankwall.wire.StoredRental
 import plankwall.wire.TaskReport
 import plankwall.wire.TaskStage
+import plankwall.wire.WithdrawalNews
 import plankwall.wire.WorkerCodec
 import plankwall.wire.Write
-import plankwall.wire.WithdrawalNews
 import plankwall.wire.ZoneReach
 
 class WireTest {
@@ -50,6 +52,46 @@
         "cores":8.0,"accelerators":1.0,"ram_gb":64.0,"mould":"img-07","size_gb":6.2,"builds":["g8"],"yard":null,"together":true,
         "scatter":false,"loaners":true,"guess_s":240.0,"snapshot_s":30.0,"stow_s":4.0,"due_s":900.0,"new_field":[{"x":1}]}"""
 
+    /** Every field of PROTOCOL's table: missing, null, of a wrong type, out of range. Those that may be null may be absent too. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', textBlock = """
+        id           | false | 7        | "job-x"
+        docket       | false | 7        | ""
+        crew         | false | ["a"]    | ""
+        shape        | false | true     | "heap"
+        urgency      | false | 1        | "asap"
+        pieces       | false | "16"     | 0
+        pieces       | false | 1.5      | 100001
+        cores        | false | "8"      | -1
+        accelerators | false | null     | -0.5
+        ram_gb       | false | {}       | 1e12
+        mould        | false | 3        | ""
+        size_gb      | false | "6"      | -6.2
+        builds       | true  | "g8"     | [""]
+        yard         | true  | 5        | ["a"]
+        together     | false | "yes"    | 1
+        scatter      | false | 0        | "false"
+        loaners      | false | "no"     | []
+        guess_s      | false | "240"    | -1
+        snapshot_s   | false | true     | -30
+        stow_s       | false | "4"      | -4
+        due_s        | true  | "900"    | -900""")
+    fun `a submission has every field, each of its kind and within its range`(field: String, mayBeNull: Boolean, wrongType: String, outOfRange: String) {
+        val whole = SimWorker.json.readTree(good) as ObjectNode
+        fun read(body: ObjectNode) = JobCodec.read(SimWorker.json.writeValueAsBytes(body))
+        val without = whole.deepCopy().apply { remove(field) }
+        val nulled = whole.deepCopy().apply { putNull(field) }
+        if (mayBeNull) {
+            assertEquals(read(without), read(nulled))
+        } else {
+            assertThrows(BadMessage::class.java) { read(without) }
+            assertThrows(BadMessage::class.java) { read(nulled) }
+        }
+        for (value in listOf(wrongType, outOfRange)) {
+            assertThrows(BadMessage::class.java) { read(whole.deepCopy().apply { set<ObjectNode>(field, SimWorker.json.readTree(value)) }) }
+        }
+    }
+
     @Test
     fun `a submission is read and its stored copy is the same`() {
         val spec = JobCodec.read(good.encodeToByteArray())
--- a/src/test/kotlin/plankwall/WorkerDeskTest.kt
+++ b/src/test/kotlin/plankwall/WorkerDeskTest.kt
@@ -1,9 +1,14 @@
 package plankwall
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import plankwall.core.jobs.StopCause
+import plankwall.core.placing.Placer
 import plankwall.core.workers.WorkerDesk
 import plankwall.model.Shape
 import plankwall.sim.CoreParts
@@ -22,6 +27,66 @@
     private fun report(machine: String, seq: Long, tasks: List<TaskReport>) =
         Report(machine, "addr:$machine", "box", "a", false, 1, seq, 0, null, tasks)
 
+    private fun word(session: Long, seq: Long, token: Long) = Report("i-1", "addr:i-1", "box", "a", false, session, seq, token, null, emptyList())
+
+    private fun wait(seconds: Double) = core.ctx.time.advance(core.ctx.now + seconds, 0)
+
+    private val placer = Placer(core.ctx, book, core.fleet)
+
+    @Test
+    fun `a copy of an earlier session as the first word bars a machine only until it shows our token`() {
+        core.lead()
+        val m = core.machine("i-1")
+        desk.checkIn(word(session = 1, seq = 5, token = 2))
+        desk.checkIn(word(session = 2, seq = 9, token = 2))
+        assertFalse(placer.usable(m), "it may be one that hears nobody")
+        desk.checkIn(word(session = 2, seq = 10, token = CoreParts.EPOCH))
+        assertTrue(placer.usable(m))
+    }
+
+    @Test
+    fun `a machine that heard us once and lost its lease though answered is barred for a lease`() {
+        core.lead()
+        val m = core.machine("i-1")
+        desk.checkIn(word(session = 1, seq = 5, token = CoreParts.EPOCH))
+        desk.checkIn(word(session = 2, seq = 9, token = CoreParts.EPOCH))
+        assertFalse(placer.usable(m))
+        wait(core.ctx.surelyOverS)
+        desk.checkIn(word(session = 2, seq = 12, token = CoreParts.EPOCH))
+        assertTrue(placer.usable(m))
+    }
+
+    @ParameterizedTest(name = "run was put into an answer: {0}")
+    @ValueSource(booleans = [false, true])
+    fun `what never left for a machine that misses a report is taken back, all else waits for proof`(commanded: Boolean) {
+        core.lead()
+        val m = core.machine("i-1")
+        desk.checkIn(word(session = 1, seq = 5, token = 2))
+        val p = book.place(core.learn(World.job(1)), 0, m, 7).apply { stored = true }
+        if (commanded) desk.checkIn(word(session = 1, seq = 6, token = 2))
+        wait(core.ctx.settings.workers.missedS - 0.1)
+        desk.releaseSilent()
+        assertTrue(p.job.placements[0] === p, "not late yet")
+        wait(0.2)
+        desk.releaseSilent()
+        assertEquals(commanded, p.job.placements[0] === p)
+        assertEquals(commanded, placer.usable(m), "nothing more is placed in vain")
+        desk.checkIn(word(session = 1, seq = 8, token = 2))
+        assertTrue(placer.usable(m))
+    }
+
+    @Test
+    fun `a first word proves no absence before it shows our token`() {
+        core.lead()
+        val m = core.machine("i-1").apply { session = 1 }
+        val p = book.place(core.learn(World.job(1)), 0, m, 7).apply { stored = true; commanded = true }
+        book.stop(p, StopCause.WITHDRAWN, 0.0)
+        desk.checkIn(word(session = 1, seq = 3, token = 2))
+        assertTrue(p.job.placements[0] === p)
+        desk.checkIn(word(session = 1, seq = 9, token = CoreParts.EPOCH))
+        assertTrue(p.job.placements.isEmpty())
+    }
+
     @ParameterizedTest(name = "{0} while its mate is {1}")
     @CsvSource(
         // Images of 25 GB reach the machines of a gang minutes apart; the first to wait must not end the attempt.
--- a/src/test/kotlin/plankwall/meetings/CancellationsTest.kt
+++ b/src/test/kotlin/plankwall/meetings/CancellationsTest.kt
@@ -1,6 +1,8 @@
 package plankwall.meetings
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.cancellations.Cancellations
@@ -127,4 +129,12 @@
         cancellations.over("job-000007")
         assertEquals(false, cancellations.isKnown("job-000007"))
     }
+
+    @Test
+    fun `a peer's reading is as old as it says, and older by what its clock may be slow`() {
+        happen("read")
+        wait(60.0)
+        says("n1", whole(upS = 100.0, readAgeS = 40.0))
+        assertTrue(cancellations.storedUpTo in ctx.now - 40.1..ctx.now - 40.04, "${ctx.now - cancellations.storedUpTo}")
+    }
 }
--- a/src/test/kotlin/plankwall/meetings/MeetingsTest.kt
+++ b/src/test/kotlin/plankwall/meetings/MeetingsTest.kt
@@ -103,6 +103,16 @@
         (1..60).forEach { assertTrue(world.stageOf(id(it)) in setOf("done", "withdrawn"), "${id(it)} is ${world.stageOf(id(it))}") }
     }
 
+    @Test
+    fun `odd requests are refused for what they are, and repeats of the accepted never`() {
+        begin(nodes = 5, runS = 40.0)
+        repeat(60) { s -> at(s.toDouble()) { world.users.beOdd((1..6).map(::id).filter { world.checker.stageTold(it) == "done" }, (1..6).map(::id).filter { world.checker.stageTold(it) == null }) } }
+        at(10.0) { leader.crash(3.0) }
+        go(120.0)
+        felt("odd requests")
+        unbroken(stage = "done")
+    }
+
     @Test
     fun `an answer that is lost is no refusal, whatever was written`() {
         world = World(5, nodeCount = 3)
