The checker: two different ends of a job contradict each other, whenever they were asked for

Judging an answer by when it was asked for had let two contradicting ends pass if they were asked for at once; an older answer that is no end may still come late. The plant for cancelling was made to ask before the end was told.

--- a/src/main/kotlin/plankwall/lab/RuleChecker.kt
+++ b/src/main/kotlin/plankwall/lab/RuleChecker.kt
@@ -105,11 +105,13 @@
     /** What a job is called for good once stays so for whoever asks later. */
     private fun noteStage(id: String, stage: String, now: Double, askedAt: Double) {
         val before = told[id]
-        if (before != null && before != stage && askedAt >= toldAt.getValue(id)) broken.add("went_back: $id from $before to $stage")
+        // Two different ends contradict each other whenever they were asked for.
+        val over = stage == "done" || stage == "withdrawn"
+        if (before != null && before != stage && (over || askedAt >= toldAt.getValue(id))) broken.add("went_back: $id from $before to $stage")
         if (stage == "withdrawn" && id !in asked && needed(id).none { it in asked }) broken.add("went_back: $id called withdrawn by nobody's wish")
         if (stage == "done" && accepted[id]?.let { s -> (0 until s.tasks).any { "$id/$it" !in done } } == true) broken.add("not_done: $id")
         if (stage == "withdrawn") withdrawn.putIfAbsent(id, now)
-        if ((stage == "done" || stage == "withdrawn") && before == null) {
+        if (over && before == null) {
             told[id] = stage
             toldAt[id] = now
         }
--- a/src/test/kotlin/plankwall/RuleCheckerTest.kt
+++ b/src/test/kotlin/plankwall/RuleCheckerTest.kt
@@ -67,7 +67,7 @@
             completed("job-000001/0")
             shown("job-000001", 200, "done", 20.0)
             withdrawAsked("job-000001")
-            withdrawAnswered("job-000001", "withdrawn", 21.0)
+            withdrawAnswered("job-000001", "withdrawn", 21.0, 19.0)
         },
         "stalled" to {
             submitted(World.job(1), 201)
