Laboratory: SimNode out of World, workers behind an interface, rule checker indexed by job and team

Change: SimNode.kt holds a simulated controller; SimWorker asks a WorkerHost instead of World; RuleChecker keeps what runs by job and by team; SimState can refuse beyond its rates and forget old changes.

--- a/src/main/kotlin/plankwall/lab/LinkDay.kt
+++ b/src/main/kotlin/plankwall/lab/LinkDay.kt
@@ -53,7 +53,7 @@
                 log.info("at {} s {} tasks of {} are killed though a node could have served it at {} s, last served at {} s", world.clock.now, tasks, worker.id, could, lastServed[worker.id])
             }
         }
-        var leader: World.Node? = null
+        var leader: SimNode? = null
         world.clock.every(0.1) {
             val now = world.nodes.firstOrNull { it.leading }
             if (now != null && now !== leader) leads++
@@ -84,7 +84,7 @@
         lastServed[worker] = now
     }
 
-    private fun couldServe(world: World, worker: SimWorker, node: World.Node): Boolean =
+    private fun couldServe(world: World, worker: SimWorker, node: SimNode): Boolean =
         !node.frozen && world.wiring.isOpen(node.name, worker.id, worker.group.zone) &&
             world.nodes.any { it.leading && !it.frozen && (it === node || open(world, node.name, it.name)) }
 
--- a/src/main/kotlin/plankwall/lab/MeetingDay.kt
+++ b/src/main/kotlin/plankwall/lab/MeetingDay.kt
@@ -45,7 +45,7 @@
         world.clock.after(at) { world.submit(spec, if (n % 2 == 0) 4.0 + random.nextDouble() * 60.0 else null) }
     }
 
-    private fun leader(): World.Node = world.nodes.firstOrNull { it.leading } ?: world.nodes[random.nextInt(nodes)]
+    private fun leader(): SimNode = world.nodes.firstOrNull { it.leading } ?: world.nodes[random.nextInt(nodes)]
 
     /** For how long it lasts. */
     private fun begin(kind: Kind, at: Double): Double {
--- a/src/main/kotlin/plankwall/lab/RuleChecker.kt
+++ b/src/main/kotlin/plankwall/lab/RuleChecker.kt
@@ -4,6 +4,7 @@
 import plankwall.model.Resources
 import plankwall.model.Settings
 import plankwall.model.Shape
+import plankwall.model.Team
 
 /** Watches a simulated day from outside and notes every broken rule of PROTOCOL that it can see. */
 class RuleChecker(private val settings: Settings) {
@@ -11,6 +12,15 @@
     private class Place(val spec: JobSpec, val worker: SimWorker)
 
     private val on = HashMap<String, Place>()
+
+    /** The entries of [on] by job. */
+    private val byJob = HashMap<String, HashMap<String, Place>>()
+
+    /** What the entries of [on] take together, by team. */
+    private val used = HashMap<String, Resources>()
+
+    /** Withdrawn jobs that may have a task on a machine. */
+    private val withdrawnOn = LinkedHashSet<String>()
     private val done = HashSet<String>()
     private val accepted = HashMap<String, JobSpec>()
     private val acceptedAt = HashMap<String, Double>()
@@ -34,29 +44,51 @@
         if (there != null && there.worker !== worker) broken.add("ran_twice: $task on ${there.worker.id} and ${worker.id} at $now")
         spec.dependencies.filter { !isDone(it) }.forEach { broken.add("too_early: $task before $it is done at $now") }
         val group = worker.group
-        val zones = on.filterKeys { it.substringBefore('/') == spec.id && it != task }.values.map { it.worker.group.zone }
+        val zones = byJob[spec.id].orEmpty().filterKeys { it != task }.values.map { it.worker.group.zone }
         if (spec.types != null && group.type !in spec.types || spec.zone != null && spec.zone != group.zone || group.spot && !spec.spot) {
             broken.add("wrong_place: $task on $group")
         }
         if (spec.oneZone && zones.any { it != group.zone }) broken.add("wrong_place: $task not in the zone of its mates")
         if (spec.spread && zones.count { it == group.zone } + 1 > (spec.tasks + 1) / 2) broken.add("wrong_place: $task not spread")
-        on[task] = Place(spec, worker)
-        val team = settings.teams.first { it.name == spec.team }
-        val used = on.values.filter { it.spec.team == spec.team }.fold(Resources.NONE) { sum, p -> sum + p.spec.need }
-        mostUsed.merge(spec.team, used) { a, b -> Resources(maxOf(a.cpus, b.cpus), maxOf(a.gpus, b.gpus), maxOf(a.memory, b.memory)) }
-        if (team.gpusMax > 0 && used.gpus > team.gpusMax || team.cpusMax > 0 && used.cpus > team.cpusMax) {
+        remove(task)
+        put(task, Place(spec, worker))
+        val team = teamOf(spec)
+        val usedNow = used.getValue(spec.team)
+        mostUsed.merge(spec.team, usedNow) { a, b -> Resources(maxOf(a.cpus, b.cpus), maxOf(a.gpus, b.gpus), maxOf(a.memory, b.memory)) }
+        if (team.gpusMax > 0 && usedNow.gpus > team.gpusMax || team.cpusMax > 0 && usedNow.cpus > team.cpusMax) {
             broken.add("quota: ${spec.team} at $now")
         }
         checkWithdrawn(now)
     }
 
+    private val teams = settings.teams.associateBy { it.name }
+
+    private fun teamOf(spec: JobSpec): Team = teams.getValue(spec.team)
+
+    private fun put(task: String, place: Place) {
+        val spec = place.spec
+        on[task] = place
+        byJob.getOrPut(spec.id) { HashMap() }[task] = place
+        used.merge(spec.team, spec.need, Resources::plus)
+        if (spec.id in withdrawn) withdrawnOn.add(spec.id)
+    }
+
+    private fun remove(task: String) {
+        val place = on.remove(task) ?: return
+        val spec = place.spec
+        val tasks = byJob.getValue(spec.id)
+        tasks.remove(task)
+        if (tasks.isEmpty()) byJob.remove(spec.id)
+        used.merge(spec.team, spec.need, Resources::minus)
+    }
+
     /** A worker took the command to start a task of [id]. */
     fun commanded(id: String, now: Double) {
         if (withdrawn[id]?.let { it < now } == true) startsAfterCancel++
     }
 
     fun off(task: String, worker: SimWorker, now: Double) {
-        if (on[task]?.worker === worker) on.remove(task)
+        if (on[task]?.worker === worker) remove(task)
         checkWithdrawn(now)
     }
 
@@ -65,9 +97,10 @@
     }
 
     fun checkWithdrawn(now: Double) {
-        for (task in on.keys) {
-            val since = withdrawn[task.substringBefore('/')] ?: continue
-            if (now > since + settings.workers.cancelS) broken.add("ran_cancelled: $task at $now")
+        withdrawnOn.removeIf { it !in byJob }
+        for (id in withdrawnOn) {
+            if (now <= withdrawn.getValue(id) + settings.workers.cancelS) continue
+            byJob.getValue(id).keys.forEach { broken.add("ran_cancelled: $it at $now") }
         }
     }
 
@@ -110,7 +143,10 @@
         if (before != null && before != stage && (over || askedAt >= toldAt.getValue(id))) broken.add("went_back: $id from $before to $stage")
         if (stage == "withdrawn" && id !in asked && needed(id).none { it in asked }) broken.add("went_back: $id called withdrawn by nobody's wish")
         if (stage == "done" && accepted[id]?.let { s -> (0 until s.tasks).any { "$id/$it" !in done } } == true) broken.add("not_done: $id")
-        if (stage == "withdrawn") withdrawn.putIfAbsent(id, now)
+        if (stage == "withdrawn") {
+            withdrawn.putIfAbsent(id, now)
+            withdrawnOn.add(id)
+        }
         if (over && before == null) {
             told[id] = stage
             toldAt[id] = now
@@ -141,18 +177,17 @@
      */
     fun checkStalled(machines: Map<SimWorker, Resources>, now: Double) {
         if (now < calmFrom) return
-        val used = HashMap<SimWorker, Resources>()
-        on.values.forEach { p -> used.merge(p.worker, p.spec.need, Resources::plus) }
-        val byJob = on.entries.groupBy({ it.key.substringBefore('/') }, { it.value.worker.group.zone })
+        val taken = HashMap<SimWorker, Resources>()
+        on.values.forEach { p -> taken.merge(p.worker, p.spec.need, Resources::plus) }
         for ((id, spec) in accepted) {
-            val zones = byJob[id].orEmpty()
+            val zones = byJob[id].orEmpty().values.map { it.worker.group.zone }
             val waits = told[id] == null && id !in asked && spec.dependencies.all { isDone(it) } &&
                 (0 until spec.tasks).any { "$id/$it" !in done && "$id/$it" !in on } && (spec.shape != Shape.GANG || zones.isEmpty())
             val fits = waits && isUnderLimit(spec) && machines.any { (worker, capacity) ->
                 val group = worker.group
                 (spec.types == null || group.type in spec.types) && (spec.zone ?: group.zone) == group.zone && (spec.spot || !group.spot) &&
                     (!spec.oneZone || zones.all { it == group.zone }) && (!spec.spread || zones.count { it == group.zone } < (spec.tasks + 1) / 2) &&
-                    (spec.need * (if (spec.shape == Shape.GANG) spec.tasks else 1)).fitsIn(capacity - (used[worker] ?: Resources.NONE))
+                    (spec.need * (if (spec.shape == Shape.GANG) spec.tasks else 1)).fitsIn(capacity - (taken[worker] ?: Resources.NONE))
             }
             if (!fits) stallingSince.remove(id)
             else if (now - stallingSince.getOrPut(id) { now } > STALLED_S) {
@@ -163,9 +198,8 @@
     }
 
     private fun isUnderLimit(spec: JobSpec): Boolean {
-        val team = settings.teams.first { it.name == spec.team }
-        val used = on.values.filter { it.spec.team == spec.team }.fold(Resources.NONE) { sum, p -> sum + p.spec.need }
-        return team.allows(used + spec.need * (if (spec.shape == Shape.GANG) spec.tasks else 1))
+        val usedNow = used[spec.team] ?: Resources.NONE
+        return teamOf(spec).allows(usedNow + spec.need * (if (spec.shape == Shape.GANG) spec.tasks else 1))
     }
 
     private var anyTold = Double.NEGATIVE_INFINITY
--- a/src/main/kotlin/plankwall/lab/SimCloud.kt
+++ b/src/main/kotlin/plankwall/lab/SimCloud.kt
@@ -14,6 +14,7 @@
     private val random: Random,
     val catalog: Catalog,
     private val listLagS: Double,
+    private val addressOf: (id: String) -> String = SimWorker::addressOf,
     private val newWorker: (id: String, group: GroupKey) -> SimWorker,
 ) {
     class Rented(val id: String, val group: GroupKey, val at: Double) {
@@ -50,7 +51,7 @@
 
     private fun snapshot() = machines.values.map {
         val state = if (it.failed) ListedState.FAILED else if (it.worker == null) ListedState.BOOTING else ListedState.RUNNING
-        ListedMachine(it.id, "addr:${it.id.substring(2).toInt() + 1}", it.group, state, clock.now - it.at)
+        ListedMachine(it.id, addressOf(it.id), it.group, state, clock.now - it.at)
     }
 
     fun worker(address: String): SimWorker? = workers.firstOrNull { it.address == address }
@@ -87,6 +88,14 @@
         return CloudResult.Rented(names)
     }
 
+    /** Adds machines that are up from the start, as if rented long ago; each boots after [bootS]. */
+    fun addRunning(group: GroupKey, count: Int, bootS: () -> Double) = repeat(count) {
+        val rented = Rented("i-%06d".format(next++), group, clock.now)
+        machines[rented.id] = rented
+        most = maxOf(most, machines.size)
+        clock.after(bootS()) { boot(rented) }
+    }
+
     private fun boot(rented: Rented) {
         if (machines[rented.id] === rented) rented.worker = newWorker(rented.id, rented.group)
     }
--- a/src/main/kotlin/plankwall/lab/SimState.kt
+++ b/src/main/kotlin/plankwall/lab/SimState.kt
@@ -21,6 +21,10 @@
     private val entries = TreeMap<String, Entry>()
     private val leases = HashMap<Long, Lease>()
     private val history = ArrayList<StateEvent>()
+
+    /** How many changes are kept at least; who asks for what came before is told that it is too old. */
+    var historyLimit = Int.MAX_VALUE
+    private var forgottenUpTo = 0L
     private val watchers = ArrayList<Watcher>()
     private var revision = 0L
     private var nextLease = 1L
@@ -30,6 +34,9 @@
             field = value
         }
 
+    /** Refuses what goes beyond the rates of the settings, as the service does. Off: it is only counted in [calls] and [writes]. */
+    var refusesBeyondRates = false
+
     /** Null: no limits. Larger values and transactions are refused for good, changes beyond the rate for now. */
     var limits: StateLimits? = null
     private var second = -1L
@@ -62,17 +69,24 @@
     val calls = Meter(rates.rps)
     val writes = Meter(rates.writeRps)
 
-    /** What the service would have answered with 429: beyond [rate] a second, with bursts of one second's worth (PROTOCOL). */
-    class Meter(private val rate: Double) {
-        private var left = rate
+    /** What the service would have answered with 429: beyond [rate] a second, with bursts of [burstS] seconds' worth. */
+    class Meter(private val rate: Double, burstS: Double = 1.0) {
+        private val most = rate * burstS
+        private var left = most
         private var at = 0.0
         var beyond = 0
             private set
 
-        fun note(now: Double, n: Int) {
-            left = minOf(rate, left + (now - at) * rate)
+        /** Counts [n] at [now]; false if that goes beyond the rate. */
+        fun note(now: Double, n: Int): Boolean {
+            left = minOf(most, left + (now - at) * rate)
             at = now
-            if (n > left) beyond += n else left -= n
+            if (n > left) {
+                beyond += n
+                return false
+            }
+            left -= n
+            return true
         }
     }
 
@@ -99,8 +113,8 @@
     }
 
     fun run(op: StateOp, answer: (StateResult) -> Unit) {
-        calls.note(clock.now, 1)
-        if (op is StateOp.Txn) writes.note(clock.now, op.writes.size)
+        val admitted = calls.note(clock.now, 1) and (op !is StateOp.Txn || writes.note(clock.now, op.writes.size))
+        if (refusesBeyondRates && !admitted) return answer(StateResult.Refused)
         if (op is StateOp.Watch) watch(op, answer) else answer(if (outage) StateResult.Refused else apply(op))
     }
 
@@ -126,7 +140,7 @@
             drop(op.lease)
             StateResult.Renewed
         }
-        is StateOp.Changes -> StateResult.News(changes(op.prefix, op.after), revision)
+        is StateOp.Changes -> news(op.prefix, op.after)
         is StateOp.Watch -> error("watches are handled apart")
     }
 
@@ -158,6 +172,7 @@
             is Write.Remove -> if (entries.remove(w.key) != null) history.add(StateEvent(w.key, null, revision))
         }
         val result = StateResult.Committed(revision)
+        forgetOld()
         wake()
         return result
     }
@@ -175,7 +190,17 @@
         if (outage) return clock.after(0.1) { close(w) }
         w.open = false
         watchers.remove(w)
-        w.answer(StateResult.News(changes(w.op.prefix, w.op.after), revision))
+        w.answer(news(w.op.prefix, w.op.after))
+    }
+
+    private fun news(prefix: String, after: Long): StateResult =
+        if (after < forgottenUpTo) StateResult.TooOld else StateResult.News(changes(prefix, after), revision)
+
+    private fun forgetOld() {
+        if (historyLimit == Int.MAX_VALUE || history.size < historyLimit * 2) return
+        val old = history.subList(0, history.size - historyLimit)
+        forgottenUpTo = old.last().version
+        old.clear()
     }
 
     private fun changes(prefix: String, after: Long) = since(after).filter { it.key.startsWith(prefix) }
--- a/src/main/kotlin/plankwall/lab/SimWorker.kt
+++ b/src/main/kotlin/plankwall/lab/SimWorker.kt
@@ -11,20 +11,24 @@
 import plankwall.wire.TaskStage
 
 /** A machine's worker as PROTOCOL describes it: reports, leases, tokens, sessions, tasks. */
-class SimWorker(private val world: World, val id: String, val group: GroupKey) {
+class SimWorker(
+    private val host: WorkerHost,
+    val id: String,
+    val group: GroupKey,
+    val address: String = addressOf(id),
+) {
     private class Task(val spec: JobSpec, val task: Int, val attempt: Long) {
         var stage = TaskStage.FETCHING
         var cause: ExitCause? = null
     }
 
-    val address = "addr:${id.substring(2).toInt() + 1}"
-    private val clock = world.clock
+    private val clock = host.clock
     private val tasks = LinkedHashMap<String, Task>()
     private var session = 1L
     private var seq = 0L
     private var token = 0L
     private var leaseFrom = clock.now
-    private var target = world.random.nextInt(world.nodes.size)
+    private var target = host.random.nextInt(host.nodeNames.size)
     private var alive = true
     private var waiting = false
     private var lastSent = -10.0
@@ -46,6 +50,8 @@
     /** Fails every task that it starts; those that run go on. */
     var sick = false
 
+    val runningTasks: Int get() = tasks.values.count { it.stage == TaskStage.RUNNING }
+
     init {
         clock.after(0.01) { loop() }
         clock.every(0.1) { if (alive) expire() }
@@ -53,16 +59,15 @@
 
     fun die() {
         alive = false
-        tasks.keys.toList().forEach { world.checker.off(it, this, clock.now) }
+        tasks.keys.toList().forEach { host.checker.off(it, this, clock.now) }
         tasks.clear()
     }
 
     private fun expire() {
-        if (clock.now - leaseFrom <= world.settings.workers.leaseS) return
+        if (clock.now - leaseFrom <= host.settings.workers.leaseS) return
         val killed = tasks.values.count { it.stage != TaskStage.EXITED }
-        world.leaseDeaths += killed
-        if (killed > 0) world.onLeaseDeath(this, killed)
-        tasks.keys.toList().forEach { world.checker.off(it, this, clock.now) }
+        host.onLeaseExpired(this, killed)
+        tasks.keys.toList().forEach { host.checker.off(it, this, clock.now) }
         tasks.clear()
         session++
         leaseFrom = clock.now
@@ -71,7 +76,7 @@
     private fun loop() {
         if (!alive) return
         send()
-        clock.after(world.settings.workers.reportS * (0.75 + world.random.nextDouble() / 2)) { loop() }
+        clock.after(host.settings.workers.reportS * (0.75 + host.random.nextDouble() / 2)) { loop() }
     }
 
     private fun changed() {
@@ -84,22 +89,21 @@
         lastSent = clock.now
         val sentAt = clock.now
         val sentSession = session
-        val to = world.nodes[target]
         var settled = false
         fun failed() {
             if (settled) return
             settled = true
             waiting = false
-            target = (target + 1) % world.nodes.size
+            target = (target + 1) % host.nodeNames.size
             clock.after(1.0) { send() }
         }
         clock.after(PATIENCE_S) { whenAwake { failed() } }
-        world.checkIn(this, to, report()) { status, body -> whenAwake {
+        host.sendReport(this, target, report()) { status, body -> whenAwake {
             if (settled || !alive || clock.now - sentAt > PATIENCE_S) return@whenAwake
             if (status != 200 && status != 421) return@whenAwake failed()
             if (status == 421) {
                 val leader = body.get("foreman")?.asText()
-                val node = world.nodes.indexOfFirst { it.name == leader }
+                val node = host.nodeNames.indexOf(leader)
                 if (node < 0 || node == target) return@whenAwake failed()
                 target = node
                 settled = true
@@ -146,7 +150,7 @@
                 "run" -> if (there == null) start(name, attempt)
                 "stop" -> if (there != null && there.attempt == attempt && there.stage != TaskStage.EXITED) end(name, there, ExitCause.STOPPED)
                 "clear" -> if (there != null && there.attempt == attempt && there.stage == TaskStage.EXITED) {
-                    if (there.cause == ExitCause.DONE) world.checkStored(there.spec.id, there.task)
+                    if (there.cause == ExitCause.DONE) host.checkStored(there.spec.id, there.task)
                     tasks.remove(name)
                 }
             }
@@ -154,26 +158,27 @@
     }
 
     private fun start(name: String, attempt: Long) {
-        val spec = world.submitted(name.substringBefore('/')) ?: return
-        world.checker.commanded(spec.id, clock.now)
+        val spec = host.submitted(name.substringBefore('/')) ?: return
+        host.checker.commanded(spec.id, clock.now)
         val task = Task(spec, name.substringAfter('/').toInt(), attempt)
         tasks[name] = task
         changed()
-        clock.after(0.5 + world.random.nextDouble()) { whenAwake {
+        clock.after(0.5 + host.random.nextDouble()) { whenAwake {
             expire()
             if (!alive || tasks[name] !== task || task.stage == TaskStage.EXITED) return@whenAwake
             task.stage = TaskStage.RUNNING
-            if (sick || spec.id in world.mistaken) {
+            if (sick || host.isMistaken(spec.id)) {
                 end(name, task, ExitCause.ERROR)
                 return@whenAwake
             }
-            world.checker.on(name, spec, this, clock.now)
+            host.checker.on(name, spec, this, clock.now)
+            host.onStarted(spec.id, task.task)
             changed()
             if (spec.shape != Shape.SERVICE) clock.after(spec.estimateS) { whenAwake {
                 expire()
                 if (alive && tasks[name] === task && task.stage == TaskStage.RUNNING) {
-                    world.checker.completed(name)
-                    world.onCompleted(spec.id)
+                    host.checker.completed(name)
+                    host.onCompleted(spec.id)
                     end(name, task, ExitCause.DONE)
                 }
             } }
@@ -181,7 +186,7 @@
     }
 
     private fun end(name: String, task: Task, cause: ExitCause) {
-        if (task.stage == TaskStage.RUNNING) world.checker.off(name, this, clock.now)
+        if (task.stage == TaskStage.RUNNING) host.checker.off(name, this, clock.now)
         task.stage = TaskStage.EXITED
         task.cause = cause
         changed()
@@ -195,6 +200,9 @@
     companion object {
         val json = ObjectMapper()
 
+        /** Where a machine of a virtual cluster is reached. */
+        fun addressOf(id: String): String = "addr:${id.substring(2).toInt() + 1}"
+
         /** How long a worker waits for an answer. */
         const val PATIENCE_S = 4.0
     }
--- /dev/null
+++ b/src/main/kotlin/plankwall/lab/WorkerHost.kt
@@ -0,0 +1,42 @@
+package plankwall.lab
+
+import com.fasterxml.jackson.databind.JsonNode
+import plankwall.model.JobSpec
+import plankwall.model.Settings
+import plankwall.wire.Report
+import java.util.Random
+
+/**
+ * The cluster around a [SimWorker]: its clock, the controllers that it reports to, and the observers of what it does.
+ * A [World] carries reports in virtual time; the scale run carries them over sockets.
+ */
+interface WorkerHost {
+    val clock: SimClock
+    val random: Random
+    val settings: Settings
+    val checker: RuleChecker
+
+    /** The controllers, in the order in which workers try them. */
+    val nodeNames: List<String>
+
+    /** The description of a job that was submitted, or null. */
+    fun submitted(id: String): JobSpec?
+
+    /** Whether the job was submitted with a mistake and fails wherever it runs. */
+    fun isMistaken(id: String): Boolean
+
+    /** Carries [report] to the controller at index [node]; [then] gets the answer, if there is one. */
+    fun sendReport(worker: SimWorker, node: Int, report: Report, then: (status: Int, body: JsonNode) -> Unit)
+
+    /** A worker is about to forget that a task is done. */
+    fun checkStored(id: String, task: Int)
+
+    /** A task of the job has begun to run. */
+    fun onStarted(id: String, task: Int)
+
+    /** A task of the job has completed; called once for each. */
+    fun onCompleted(id: String)
+
+    /** A worker's lease ran out while [tasks] of its tasks had not ended. */
+    fun onLeaseExpired(worker: SimWorker, tasks: Int)
+}
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -1,14 +1,9 @@
 package plankwall.lab
 
 import com.fasterxml.jackson.databind.JsonNode
-import plankwall.core.Controller
 import plankwall.core.step.Effect
 import plankwall.core.step.Input
-import plankwall.core.step.RequestId
 import plankwall.gate.GateSettings
-import plankwall.gate.Gatehouse
-import plankwall.identity.PeerDoor
-import plankwall.identity.PeerSeal
 import plankwall.model.Address
 import plankwall.model.Catalog
 import plankwall.model.CloudLimits
@@ -24,17 +19,10 @@
 import plankwall.model.Team
 import plankwall.model.Tuning
 import plankwall.model.WorkerTimes
-import plankwall.wire.CloudResult
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
 import plankwall.wire.PageRecord
-import plankwall.wire.PeerCodec
-import plankwall.wire.PeerStatus
-import plankwall.wire.RelayedAnswer
-import plankwall.wire.RelayedReport
 import plankwall.wire.Report
-import plankwall.wire.StateOp
-import plankwall.wire.StateResult
 import plankwall.wire.Write
 import java.util.Random
 
@@ -42,18 +30,18 @@
 class World(
     seed: Long,
     nodeCount: Int = 3,
-    private val tuning: Tuning = Tuning(),
+    internal val tuning: Tuning = Tuning(),
     private val stateNext: StateLimits? = null,
-    private val gate: ((node: String) -> GateSettings?)? = null,
+    internal val gate: ((node: String) -> GateSettings?)? = null,
     objectives: List<Objective> = emptyList(),
     times: WorkerTimes? = null,
-) {
-    val random = Random(seed)
-    val clock = SimClock()
-    val settings: Settings = settings("n0", nodeCount).let { it.copy(stateNext = stateNext, objectives = objectives, workers = times ?: it.workers) }
-    val checker = RuleChecker(settings)
+) : WorkerHost {
+    override val random = Random(seed)
+    override val clock = SimClock()
+    override val settings: Settings = settings("n0", nodeCount).let { it.copy(stateNext = stateNext, objectives = objectives, workers = times ?: it.workers) }
+    override val checker = RuleChecker(settings)
     val state = SimState(clock, settings.state)
-    val nodes = List(nodeCount) { Node("n$it", settings("n$it", nodeCount).copy(stateNext = stateNext, objectives = objectives, workers = settings.workers)) }
+    val nodes = List(nodeCount) { SimNode(this, "n$it", settings("n$it", nodeCount).copy(stateNext = stateNext, objectives = objectives, workers = settings.workers)) }
     val cloud = SimCloud(clock, random, CATALOG, 4.0) { id, group -> SimWorker(this, id, group) }
     private val specs = HashMap<String, JobSpec>()
 
@@ -73,10 +61,10 @@
     var onLeaseDeath: (worker: SimWorker, tasks: Int) -> Unit = { _, _ -> }
 
     /** Called when a worker's report arrives at a node that is up, while the worker still waits for an answer. */
-    var onReached: (worker: SimWorker, node: Node) -> Unit = { _, _ -> }
+    var onReached: (worker: SimWorker, node: SimNode) -> Unit = { _, _ -> }
 
     /** Called when a node answers a worker's report with 200. */
-    var onServed: (worker: SimWorker, node: Node) -> Unit = { _, _ -> }
+    var onServed: (worker: SimWorker, node: SimNode) -> Unit = { _, _ -> }
 
     /** Jobs submitted with a mistake: they fail wherever they run. */
     val mistaken = HashSet<String>()
@@ -103,7 +91,7 @@
     /** How often each trouble took hold: a test of a meeting says nothing where it did not. */
     val felt = HashMap<String, Int>()
 
-    private fun feel(what: String) {
+    internal fun feel(what: String) {
         felt.merge(what, 1, Int::plus)
     }
 
@@ -122,7 +110,7 @@
     private val completed = HashMap<String, Int>()
 
     /** A task of [id] has come to its end; to be told of each once. */
-    fun onCompleted(id: String) {
+    override fun onCompleted(id: String) {
         if (completed.merge(id, 1, Int::plus) != specs[id]?.tasks) return
         if (cancelAtEnd > 0 && random.nextDouble() < cancelAtEnd) {
             feel("cancelled at its end")
@@ -132,12 +120,12 @@
         if (closeLooks) listOf(0.0, 0.05, 0.3, 0.6, 1.2).forEach { clock.after(it) { users.look(id) } }
     }
 
-    private fun kindOf(write: Write): String = when (write) {
+    internal fun kindOf(write: Write): String = when (write) {
         is Write.Put -> write.key
         is Write.Remove -> write.key
     }.substringBefore('/')
 
-    private fun won(node: Node) {
+    internal fun won(node: SimNode) {
         wins++
         val now = copies.toList()
         copies.clear()
@@ -159,7 +147,7 @@
     val cutZones = HashSet<String>()
 
     /** Called before each effect is carried out; what it crashes does nothing more. */
-    var onEffect: (Node, Effect) -> Unit = { _, _ -> }
+    var onEffect: (SimNode, Effect) -> Unit = { _, _ -> }
 
     fun wallMs(): Long = (clock.now * 1000).toLong() + 1_700_000_000_000
 
@@ -169,184 +157,21 @@
         clock.every(5.0) { checker.checkStalled(sound(), clock.now) }
     }
 
-    inner class Node(val name: String, private val own: Settings) {
-        private var core: Controller? = null
-        private var life = 0
-        private var nextRequest = 1L
-        private val answers = HashMap<RequestId, (Int, ByteArray) -> Unit>()
-        private var door: PeerDoor? = null
-        private var frozenUntil = 0.0
-        private val backlog = ArrayList<Pair<Int, Input>>()
-
-        /** The gate of the present life, where there are gates. */
-        var house: Gatehouse? = null
-            private set
-        private val skew = 1.0 + (random.nextDouble() - 0.5) * 0.0009
-
-        val up: Boolean get() = core != null
-        val leading: Boolean get() = core?.leading == true
-        val frozen: Boolean get() = clock.now < frozenUntil
-
-        fun start() {
-            life++
-            val guarded = gate?.invoke(name)
-            val incarnation = life.toLong() * 1_000_000 + name.hashCode() % 1000
-            core = Controller(own, tuning, incarnation, random.nextLong(), guarded?.let { g -> { ctx -> Gatehouse(ctx, g).also { house = it } } })
-            door = guarded?.let { PeerDoor(PeerSeal(name, incarnation, it.peerKeys, it.allowUnsignedPeers, it.clockToleranceMs)) { null } }
-            val mine = life
-            fun tick() {
-                if (life != mine || core == null) return
-                feed(Input.Tick)
-                clock.after(0.1) { tick() }
-            }
-            clock.after(random.nextDouble() * 0.1) { tick() }
-        }
-
-        fun crash(backAfter: Double) {
-            core = null
-            life++
-            answers.clear()
-            clock.after(backAfter) { start() }
-        }
-
-        /** Stands still while its clocks run on; what comes meanwhile is worked off afterwards, in order. */
-        fun freeze(forS: Double) {
-            frozenUntil = clock.now + forS
-            clock.after(forS) {
-                val late = backlog.toList()
-                backlog.clear()
-                late.forEach { (l, input) -> if (l == life) feed(input) }
-            }
-        }
-
-        fun feed(input: Input) {
-            val c = core ?: return
-            if (clock.now < frozenUntil) {
-                if (input != Input.Tick) backlog.add(life to input)
-                return
-            }
-            val led = c.leading
-            val effects = c.step(clock.now * skew + 1000, wallMs(), input)
-            if (c.leading && !led) won(this)
-            for (effect in effects) {
-                perform(effect)
-                // The rest of what it wanted done is lost with the process.
-                if (core == null) return
-            }
-        }
-
-        /** Bytes as they come over a link between controllers, from whomever. */
-        fun frame(bytes: ByteArray) {
-            val d = door
-            val sent = if (d == null) PeerCodec.read(bytes) else d.open(bytes, wallMs())
-            val message = if (name in older && sent is PeerStatus) sent.copy(links = null, withdrawals = null) else sent
-            check(name !in older || (message !is RelayedReport && message !is RelayedAnswer)) { "a frame that $name can't read" }
-            if (message != null) feed(Input.PeerHeard(message))
-        }
-
-        fun ask(input: (RequestId) -> Input, then: (Int, ByteArray) -> Unit) {
-            if (core == null) return
-            val request = RequestId(nextRequest++)
-            answers[request] = then
-            feed(input(request))
-        }
-
-        private fun later(mine: Int, delay: Double, input: () -> Input) = clock.after(delay) { if (life == mine) feed(input()) }
-
-        private fun perform(e: Effect) {
-            val mine = life
-            onEffect(this, e)
-            if (life != mine) return
-            when (e) {
-                is Effect.Answer -> answers.remove(e.request)?.invoke(e.status, e.body)
-                is Effect.StateCall -> stateCall(e, mine)
-                is Effect.CloudCall -> cloudCall(e, mine)
-                is Effect.WorkerPost -> if ("$name-workers" !in cuts) command(e, mine)
-                is Effect.PeerSend -> if ("$name-peers" !in cuts) {
-                    val plain = PeerCodec.write(if (name in older && e.message is PeerStatus) e.message.copy(links = null, withdrawals = null) else e.message)
-                    val bytes = door?.seal(plain, wallMs()) ?: plain
-                    nodes.filter { it !== this && "${it.name}-peers" !in cuts && (e.to == null || e.to == it.name) }
-                        .forEach { peer -> wiring.carry(name, peer.name) { if (peer.up) peer.frame(bytes) } }
-                }
-            }
-        }
+    override val nodeNames: List<String> by lazy { nodes.map { it.name } }
 
-        private fun command(e: Effect.WorkerPost, mine: Int) {
-            val worker = cloud.worker(e.address)?.takeIf { it.group.zone !in cutZones } ?: return
-            if (worker.id in deaf) return feel("commands lost")
-            val zone = worker.group.zone
-            val sentAt = clock.now
-            wiring.carry(name, worker.id, zone, delayS = 0.01) {
-                if (worker.hung) feel("commands to the hung")
-                worker.whenAwake {
-                    val answer = worker.command(SimWorker.json.readTree(e.body))
-                    if (answer != null && clock.now - sentAt < COMMAND_PATIENCE_S) {
-                        wiring.carry(worker.id, name, zone, delayS = 0.01) { if (life == mine) feed(Input.WorkerReply(e.machine, answer.second)) }
-                    }
-                }
-            }
-        }
-
-        private fun stateCall(e: Effect.StateCall, mine: Int) {
-            val answer = { result: StateResult -> later(mine, 0.005) { Input.StateReply(e.call, result) } }
-            when {
-                "$name-state" in cuts && e.op is StateOp.Watch -> clock.after(8.0) { answer(StateResult.Unknown) }
-                "$name-state" in cuts -> answer(StateResult.Refused)
-                e.op is StateOp.Txn && random.nextDouble() < lateWrites -> {
-                    // The caller gives up; the store executes it long after.
-                    feel("late writes")
-                    later(mine, 1.5) { Input.StateReply(e.call, StateResult.Unknown) }
-                    clock.after(random.nextDouble() * 30) { state.run(e.op) {} }
-                }
-                e.op is StateOp.Txn && lostAnswers > 0 && random.nextDouble() < lostAnswers -> {
-                    feel("lost answers")
-                    later(mine, 1.5) { Input.StateReply(e.call, StateResult.Unknown) }
-                    clock.after(0.005) { state.run(e.op) { if (it is StateResult.Committed) e.op.writes.forEach { w -> feel("lost answer: ${kindOf(w)}") } } }
-                }
-                else -> overWire(e, mine)
-            }
-        }
+    override fun isMistaken(id: String): Boolean = id in mistaken
 
-        private fun cloudCall(e: Effect.CloudCall, mine: Int) {
-            val answer = once<CloudResult>(mine) { Input.CloudReply(e.call, it) }
-            if (wiring.cuts > 0) clock.after(CLOUD_PATIENCE_S) { answer(CloudResult.Trouble) }
-            wiring.carry(name, "cloud", delayS = 0.2, refused = { answer(CloudResult.Trouble) }) {
-                val result = cloud.run(e.op)
-                // Executed, but the answer is lost now and then.
-                val told = if (random.nextDouble() < loss) CloudResult.Trouble else result
-                wiring.carry("cloud", name, delayS = 0.1, refused = { answer(CloudResult.Trouble) }) { answer(told) }
-            }
-        }
+    override fun onStarted(id: String, task: Int) = Unit
 
-        /** One answer for each call: what comes after the caller has given up, or in another life, is heard by nobody. */
-        private fun <R> once(mine: Int, input: (R) -> Input): (R) -> Unit {
-            var open = true
-            return { result ->
-                if (open && life == mine) {
-                    open = false
-                    feed(input(result))
-                }
-            }
-        }
-
-        private fun overWire(e: Effect.StateCall, mine: Int) {
-            val answer = once<StateResult>(mine) { Input.StateReply(e.call, it) }
-            if (wiring.cuts > 0) clock.after((e.op as? StateOp.Watch)?.let { it.waitMs / 1000.0 + 4.0 } ?: 1.5) { answer(StateResult.Unknown) }
-            wiring.carry(name, "state", refused = { answer(StateResult.Refused) }) {
-                state.run(e.op) { result -> whenServed(e.op) {
-                    val told = if (e.op !is StateOp.Watch && random.nextDouble() < loss) StateResult.Unknown else result
-                    wiring.carry("state", name, refused = { answer(StateResult.Unknown) }) { answer(told) }
-                } }
-            }
-        }
-
-        /** The open watches of a node that is refused wait as they do in an outage. */
-        private fun whenServed(op: StateOp, then: () -> Unit) {
-            if (op is StateOp.Watch && ("$name-state" in cuts || state.outage)) clock.after(0.1) { whenServed(op, then) } else then()
-        }
+    override fun onLeaseExpired(worker: SimWorker, tasks: Int) {
+        leaseDeaths += tasks
+        if (tasks > 0) onLeaseDeath(worker, tasks)
     }
 
-    fun checkIn(worker: SimWorker, node: Node, report: Report, then: (Int, JsonNode) -> Unit) {
+    override fun sendReport(worker: SimWorker, node: Int, report: Report, then: (status: Int, body: JsonNode) -> Unit) =
+        checkIn(worker, nodes[node], report, then)
+
+    fun checkIn(worker: SimWorker, node: SimNode, report: Report, then: (Int, JsonNode) -> Unit) {
         if (!node.up || "${node.name}-workers" in cuts || worker.group.zone in cutZones) return
         check(worker.id == report.machine)
         if (worker.id in mute) return feel("reports lost")
@@ -374,10 +199,10 @@
         .filter { !it.hung && !it.sick && it.id !in deaf && it.id !in mute && it.group.zone !in cutZones }
         .associateWith { cloud.catalog[it.group.type]?.capacity ?: Resources.NONE }
 
-    fun submitted(id: String): JobSpec? = specs[id]
+    override fun submitted(id: String): JobSpec? = specs[id]
 
     /** A worker forgets that a task of [id] is done. If nobody has stored it, the next leader runs the task again. */
-    fun checkStored(id: String, task: Int) {
+    override fun checkStored(id: String, task: Int) {
         val live = state.value(Keys.job(id)) as? JobRecord ?: return
         if (live.withdrawnMs > 0 || state.value(Keys.final(id)) != null) return
         if (state.values(Keys.pages(id)).none { it is PageRecord && it.done[task] }) checker.broken.add("lost_end: $id/$task was cleared and is not stored")
@@ -429,7 +254,7 @@
     private fun stageIn(status: Int, body: ByteArray): String? = if (status >= 300) null else SimWorker.json.readTree(body).get("stage")?.asText()
 
     /** Asks [node] for a job once; whether it answered is for [then]. */
-    fun show(id: String, node: Node, then: (answered: Boolean) -> Unit = {}) {
+    fun show(id: String, node: SimNode, then: (answered: Boolean) -> Unit = {}) {
         val askedAt = clock.now
         node.ask({ Input.Show(it, id) }) { status, body ->
             checker.shown(id, status, stageIn(status, body), clock.now, askedAt)
@@ -438,7 +263,7 @@
     }
 
     /** Submits once, and again whatever came of it. */
-    fun submitOnce(spec: JobSpec, node: Node, then: (status: Int) -> Unit = {}) {
+    fun submitOnce(spec: JobSpec, node: SimNode, then: (status: Int) -> Unit = {}) {
         val askedAt = clock.now
         node.ask({ Input.Submit(it, spec) }) { status, body ->
             checker.submitted(spec, status, clock.now, stageIn(status, body), askedAt)
@@ -446,7 +271,7 @@
         }
     }
 
-    fun withdrawOnce(id: String, node: Node, then: (status: Int) -> Unit = {}) {
+    fun withdrawOnce(id: String, node: SimNode, then: (status: Int) -> Unit = {}) {
         val askedAt = clock.now
         checker.withdrawAsked(id)
         node.ask({ Input.Withdraw(it, id) }) { status, body ->
@@ -482,10 +307,8 @@
     }
 
     companion object {
-        private const val CLOUD_PATIENCE_S = 5.0
         private const val POLL_EVERY_S = 5.0
         private const val POLL_PATIENCE_S = 2.0
-        private const val COMMAND_PATIENCE_S = 3.0
         private const val MAX_COPIES = 60
         private val BIG = Resources(16_000, 4_000, 64_000)
         val CATALOG = Catalog(listOf(MachineType("box", BIG, 100.0, 1.0, 10.0, 3.0, 10.0, listOf("a", "b"))))
--- a/src/test/kotlin/plankwall/OutlookDaysTest.kt
+++ b/src/test/kotlin/plankwall/OutlookDaysTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.model.Shape
+import plankwall.lab.SimNode
 import plankwall.lab.World
 
 /** Days on which many machines fall silent together: what is left alone, and what is rented before anything is proven. */
@@ -13,7 +14,7 @@
     private val world = World(5)
 
     /** A site at work with [tasks] replicas, four to a machine; returns the leader. */
-    private fun atWork(tasks: Int): World.Node {
+    private fun atWork(tasks: Int): SimNode {
         world.clock.after(2.0) { world.submit(World.job(1, Shape.SERVICE, tasks = tasks)) }
         world.clock.runUntil(45.0)
         assertEquals(tasks / 4, world.cloud.alive.size)
--- a/src/test/kotlin/plankwall/gate/Callers.kt
+++ b/src/test/kotlin/plankwall/gate/Callers.kt
@@ -7,6 +7,7 @@
 import plankwall.identity.Tokens
 import plankwall.model.JobSpec
 import plankwall.lab.SimWorker
+import plankwall.lab.SimNode
 import plankwall.lab.World
 import plankwall.wire.KeeperCodec
 
@@ -36,7 +37,7 @@
         method: String,
         path: String,
         body: ByteArray = ByteArray(0),
-        node: World.Node? = null,
+        node: SimNode? = null,
         address: String = "127.0.0.1",
         spoil: (Proof) -> Proof = { it },
         input: (plankwall.core.step.RequestId, Proof) -> Input,
@@ -53,21 +54,21 @@
         return record
     }
 
-    fun submit(who: String, spec: JobSpec, node: World.Node? = null, spoil: (Proof) -> Proof = { it }): Asked {
+    fun submit(who: String, spec: JobSpec, node: SimNode? = null, spoil: (Proof) -> Proof = { it }): Asked {
         world.expect(spec)
         return ask(who, "submit", spec.id, "POST", "/api/jobs", spec.id.encodeToByteArray(), node, spoil = spoil) { r, p -> Input.Submit(r, spec, p) }
     }
 
-    fun show(who: String, job: String, node: World.Node? = null, spoil: (Proof) -> Proof = { it }): Asked =
+    fun show(who: String, job: String, node: SimNode? = null, spoil: (Proof) -> Proof = { it }): Asked =
         ask(who, "show", job, "GET", "/api/jobs/$job", node = node, spoil = spoil) { r, p -> Input.Show(r, job, p) }
 
-    fun withdraw(who: String, job: String, node: World.Node? = null, spoil: (Proof) -> Proof = { it }): Asked =
+    fun withdraw(who: String, job: String, node: SimNode? = null, spoil: (Proof) -> Proof = { it }): Asked =
         ask(who, "withdraw", job, "POST", "/api/jobs/$job/withdraw", node = node, spoil = spoil) { r, p -> Input.Withdraw(r, job, p) }
 
-    fun publish(who: String, base: Long, text: String, node: World.Node? = null): Asked =
+    fun publish(who: String, base: Long, text: String, node: SimNode? = null): Asked =
         keep(who, "administer", KeeperRequest.Publish(base, text), "POST", "/api/rights", KeeperCodec.publish(base, text), node)
 
-    fun keep(who: String, action: String, wanted: KeeperRequest, method: String, path: String, body: ByteArray = ByteArray(0), node: World.Node? = null): Asked =
+    fun keep(who: String, action: String, wanted: KeeperRequest, method: String, path: String, body: ByteArray = ByteArray(0), node: SimNode? = null): Asked =
         ask(who, action, "", method, path, body, node) { r, p -> Input.Keep(r, wanted, p) }
 
     companion object {
--- a/src/test/kotlin/plankwall/links/HalfCutDaysTest.kt
+++ b/src/test/kotlin/plankwall/links/HalfCutDaysTest.kt
@@ -8,13 +8,14 @@
 import org.junit.jupiter.params.provider.ValueSource
 import plankwall.lab.Cut
 import plankwall.lab.LinkDay
+import plankwall.lab.SimNode
 import plankwall.lab.World
 import plankwall.model.Shape
 
 /** Links cut in part: whoever can reach a leader through anybody keeps its work. Leases are 15 s here. */
 class HalfCutDaysTest {
     private val world = World(11, nodeCount = 5)
-    private val first: World.Node
+    private val first: SimNode
 
     init {
         world.clock.after(2.0) { world.submit(World.job(1, Shape.SERVICE, tasks = 80, spread = true)) }
@@ -25,7 +26,7 @@
 
     private val others get() = world.nodes.filter { it !== first }
 
-    private fun cut(nodes: List<World.Node>, what: String, how: Cut) = nodes.forEach { world.wiring.cutBoth(it.name, what, how) }
+    private fun cut(nodes: List<SimNode>, what: String, how: Cut) = nodes.forEach { world.wiring.cutBoth(it.name, what, how) }
 
     private fun peersApart(how: Cut) = world.nodes.forEach { a -> world.nodes.filter { it !== a }.forEach { world.wiring.cut(a.name, it.name, how) } }
 
--- a/src/test/kotlin/plankwall/meetings/GapTest.kt
+++ b/src/test/kotlin/plankwall/meetings/GapTest.kt
@@ -9,6 +9,7 @@
 import plankwall.core.step.Input
 import plankwall.lab.Cut
 import plankwall.lab.SimWorker
+import plankwall.lab.SimNode
 import plankwall.lab.World
 import plankwall.model.WorkerTimes
 import plankwall.wire.Keys
@@ -20,7 +21,7 @@
  */
 class GapTest {
     private lateinit var world: World
-    private lateinit var first: World.Node
+    private lateinit var first: SimNode
     private val others get() = world.nodes.filter { it !== first }
 
     private fun begin(times: WorkerTimes = World.settings("n0", 5).workers) {
@@ -31,7 +32,7 @@
         first = world.nodes.first { it.leading }
     }
 
-    private fun refuse(node: World.Node, forS: Double) {
+    private fun refuse(node: SimNode, forS: Double) {
         world.cuts.add("${node.name}-state")
         world.clock.after(forS) { world.cuts.remove("${node.name}-state") }
     }
@@ -43,7 +44,7 @@
 
     private var told = 0
 
-    private fun withdraw(node: World.Node, job: Int, then: () -> Unit = {}) {
+    private fun withdraw(node: SimNode, job: Int, then: () -> Unit = {}) {
         val id = "job-%06d".format(job)
         world.checker.withdrawAsked(id)
         node.ask({ Input.Withdraw(it, id) }) { status, body ->
@@ -113,7 +114,7 @@
         ends(withdrawals, killed)
     }
 
-    private fun after(how: String, by: World.Node) {
+    private fun after(how: String, by: SimNode) {
         when (how) {
             "whoever confirmed crashes right after" -> by.crash(30.0)
             "whoever confirmed crashes and is back at once" -> by.crash(0.2)
@@ -123,19 +124,19 @@
         }
     }
 
-    private fun apart(node: World.Node, how: Cut) {
+    private fun apart(node: SimNode, how: Cut) {
         world.wiring.cutBoth(node.name, first.name, how)
         world.clock.after(70.0) { world.wiring.healBoth(node.name, first.name) }
     }
 
     /** The confirmation, and the outage for all right after it. */
-    private fun gap(by: World.Node) {
+    private fun gap(by: SimNode) {
         world.clock.after(0.001) { withdraw(by, 1) }
         world.clock.after(0.03) { outage(60.0) }
     }
 
     /** The gap, once, as soon as a second leader does what [moment] waits for. */
-    private fun onSecond(by: World.Node, moment: (Effect) -> Boolean) {
+    private fun onSecond(by: SimNode, moment: (Effect) -> Boolean) {
         var over = false
         world.onEffect = { node, effect ->
             if (!over && node !== first && node.leading && moment(effect)) {
