lab scale: real controllers over loopback with hollow workers, users, cloud and state service

Cause: what a node of the planned size needs could only be guessed from simulated machines, 1,100 at a time. Change: plankwall lab scale starts controllers by the deploy file's run line; the stand-ins of plankwall.lab get a socket side. Phases (connect, idle, fill, rest, churn, faults), per node processor, memory, sockets, reports, state requests, puts and frames, latencies by HdrHistogram, JSON.

--- a/src/main/kotlin/plankwall/cli/LabCommand.kt
+++ b/src/main/kotlin/plankwall/cli/LabCommand.kt
@@ -1,6 +1,7 @@
 package plankwall.cli
 
 import org.HdrHistogram.Histogram
+import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import plankwall.lab.BadNight
@@ -9,10 +10,17 @@
 import java.util.stream.IntStream
 
 /** Experiments in virtual time, with the cores as they are and stand-ins for all the rest. */
-@Command(name = "lab", description = ["Plays days in virtual time against stand-ins; needs no site."], subcommands = [LinkDays::class, BadNights::class])
-class LabCommand
+@Command(
+    name = "lab",
+    description = ["Plays days in virtual time against stand-ins; needs no site."],
+    mixinStandardHelpOptions = true,
+    subcommands = [LinkDays::class, BadNights::class, ScaleCommand::class],
+)
+class LabCommand : Runnable {
+    override fun run() = CommandLine.usage(this, System.out)
+}
 
-@Command(name = "links", description = ["Days on which links fail in part, drawn by their number; exits 1 if a rule broke."])
+@Command(name = "links", description = ["Days on which links fail in part, drawn by their number; exits 1 if a rule broke."], mixinStandardHelpOptions = true)
 class LinkDays : Callable<Int> {
     @Option(names = ["--days"], description = ["How many."])
     private var days = 30
@@ -51,7 +59,7 @@
     private fun Histogram.s(percentile: Double) = getValueAtPercentile(percentile) / 1000.0
 }
 
-@Command(name = "nights", description = ["Days on which late boots, silent controllers, storms of polls, guests and failing jobs meet; exits 1 if a rule broke."])
+@Command(name = "nights", description = ["Days on which late boots, silent controllers, storms of polls, guests and failing jobs meet; exits 1 if a rule broke."], mixinStandardHelpOptions = true)
 class BadNights : Callable<Int> {
     @Option(names = ["--days"], description = ["How many."])
     private var days = 30
--- /dev/null
+++ b/src/main/kotlin/plankwall/cli/ScaleCommand.kt
@@ -0,0 +1,103 @@
+package plankwall.cli
+
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import plankwall.cli.settings.BadSettings
+import plankwall.lab.scale.BadScalePlan
+import plankwall.lab.scale.ScaleFigures
+import plankwall.lab.scale.ScalePlan
+import plankwall.lab.scale.ScalePlanFile
+import plankwall.lab.scale.ScaleReport
+import plankwall.lab.scale.ScaleRun
+import java.io.File
+import java.nio.file.Files
+import java.util.concurrent.Callable
+
+/** Real controllers and hollow workers on this machine. */
+@Command(
+    name = "scale",
+    description = [
+        "Starts real controller processes over loopback, with hollow workers, users, state service and cloud as stand-ins, and says what",
+        "each node uses. Ends by itself and ends only processes that it started. Exits 1 if a rule broke, 2 if the run does not fit this machine.",
+    ],
+    mixinStandardHelpOptions = true,
+)
+class ScaleCommand : Callable<Int> {
+    @Option(names = ["--plan"], paramLabel = "F", description = ["The whole plan (YAML); the options below go before it."])
+    private var file: File? = null
+
+    @Option(names = ["--workers"], description = ["How many hollow workers."])
+    private var workers: Int? = null
+
+    @Option(names = ["--controllers"], description = ["How many controller processes."])
+    private var controllers: Int? = null
+
+    @Option(names = ["--teams"], description = ["How many teams."])
+    private var teams: Int? = null
+
+    @Option(names = ["--zones"], description = ["How many zones."])
+    private var zones: Int? = null
+
+    @Option(names = ["--regions"], description = ["How many regions the zones belong to."])
+    private var regions: Int? = null
+
+    @Option(names = ["--running"], description = ["Tasks of services that run throughout."])
+    private var running: Int? = null
+
+    @Option(names = ["--starts"], paramLabel = "N", description = ["Task starts a second that the arriving jobs ask for."])
+    private var starts: Double? = null
+
+    @Option(names = ["--seed"], description = ["Draws arrivals and delays."])
+    private var seed: Long? = null
+
+    @Option(names = ["--deploy"], paramLabel = "F", description = ["The file whose run line starts a controller (default: \${DEFAULT-VALUE})."])
+    private var deploy = File("deploy/service.toml")
+
+    @Option(names = ["--folder"], paramLabel = "DIR", description = ["Keeps settings and logs of the controllers here (default: a new folder under the temporary one)."])
+    private var folder: File? = null
+
+    @Option(names = ["--node-log"], paramLabel = "LEVEL", description = ["LOG_LEVEL of the controllers (default: \${DEFAULT-VALUE})."])
+    private var nodeLog = "info"
+
+    @Option(names = ["--report"], paramLabel = "F", description = ["Writes the figures as JSON."])
+    private var report: File? = null
+
+    override fun call(): Int {
+        if (!deploy.isFile) throw BadSettings("$deploy: no such file; run this at the root of the project, after a build")
+        val figures = try {
+            val into = folder ?: Files.createTempDirectory("plankwall-scale").toFile()
+            ScaleRun(plan(), deploy, into, nodeLog) { println(it) }.play()
+        } catch (e: BadScalePlan) {
+            throw BadSettings(e.message.orEmpty())
+        }
+        report?.writeText(ScaleReport.json(figures))
+        conclude(figures)
+        return if (figures.broken.isEmpty()) 0 else 1
+    }
+
+    private fun plan(): ScalePlan {
+        val base = file?.let(ScalePlanFile::read) ?: ScalePlan()
+        return base.copy(
+            workers = workers ?: base.workers,
+            controllers = controllers ?: base.controllers,
+            teams = teams ?: base.teams,
+            zones = zones ?: base.zones,
+            regions = regions ?: base.regions,
+            seed = seed ?: base.seed,
+            work = base.work.copy(running = running ?: base.work.running, startsPerS = starts ?: base.work.startsPerS),
+        )
+    }
+
+    private fun conclude(f: ScaleFigures) {
+        f.faults.forEach { o ->
+            val served = o.servedAgainS?.let { "99%% of the workers served again after %.1f s".format(it) } ?: "99% of the workers not served again within the run"
+            println("${o.fault.kind.name.lowercase()} ${o.fault.target} (${o.hit.joinToString(" ")}): $served")
+        }
+        println("services: ${f.serviceTasksStarted} of ${f.serviceTasks} tasks begun; jobs given up by their users: ${f.givenUp}; controllers ended by themselves: ${f.endedByItself}")
+        if (f.broken.isEmpty()) println("no rule broken") else f.broken.take(SHOWN).forEach { println("rule broken: $it") }
+    }
+
+    private companion object {
+        const val SHOWN = 20
+    }
+}
--- a/src/main/kotlin/plankwall/io/HttpClient.kt
+++ b/src/main/kotlin/plankwall/io/HttpClient.kt
@@ -81,6 +81,12 @@
         }
     }
 
+    /** Closes the connections that no call uses. */
+    fun closeIdle() {
+        idle.forEach { it.close() }
+        idle.clear()
+    }
+
     private fun reuse(): Connection? {
         while (idle.isNotEmpty()) {
             val c = idle.removeLast()
--- /dev/null
+++ b/src/main/kotlin/plankwall/lab/scale/Sampler.kt
@@ -0,0 +1,101 @@
+package plankwall.lab.scale
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import plankwall.lab.SimWorker
+
+/** Samples the controllers once a second and sums up what happened since a phase began. */
+class Sampler(private val site: ScaleSite, private val controllers: List<ControllerProcess>) {
+    private class Node {
+        var last: ProcessSample? = null
+        var cpuS = 0.0
+        var busiest = 0.0
+        var residentMb = 0.0
+        var sockets = 0
+    }
+
+    private val meters = site.meters
+    private var nodes = controllers.map { Node() }
+    private var begunAt = 0.0
+    private var base = Baseline()
+    private var ownCpuAt = 0.0
+
+    private inner class Baseline {
+        val nodes = meters.nodes.map { it.copyOf() }
+        val served = meters.reportsServed
+        val within1S = meters.reportsWithin1S
+        val failed = meters.reportsFailed
+        val leases = meters.leasesExpired
+        val starts = meters.starts
+        val refusals = HashMap(meters.refusals)
+    }
+
+    suspend fun run() {
+        var round = 0
+        while (site.scope.isActive) {
+            delay(SAMPLE_MS)
+            controllers.forEach { it.restartIfEnded() }
+            controllers.forEachIndexed { i, c -> note(nodes[i], c.sample(withSockets = round % SOCKETS_EVERY == 0)) }
+            round++
+        }
+    }
+
+    private fun note(node: Node, sample: ProcessSample?) {
+        val before = node.last
+        node.last = sample
+        if (sample == null) return
+        node.residentMb = maxOf(node.residentMb, sample.residentMb)
+        node.sockets = maxOf(node.sockets, sample.sockets)
+        // A new process counts from nothing.
+        val used = if (before == null || sample.cpuS < before.cpuS) sample.cpuS else sample.cpuS - before.cpuS
+        node.cpuS += used
+        node.busiest = maxOf(node.busiest, used * 1000 / SAMPLE_MS)
+    }
+
+    fun begin() {
+        val before = nodes
+        nodes = controllers.indices.map { i -> Node().also { it.last = before[i].last } }
+        meters.latencies = Latencies()
+        site.lagUs.reset()
+        base = Baseline()
+        begunAt = site.clock.now
+        ownCpuAt = ownCpuS()
+    }
+
+    private fun ownCpuS(): Double = ProcReader.read(ProcessHandle.current().pid(), withSockets = false)?.cpuS ?: 0.0
+
+    fun end(phase: String): PhaseFigures {
+        val seconds = site.clock.now - begunAt
+        val latencies = meters.latencies
+        return PhaseFigures(
+            phase, seconds, site.cloud.workers.size, site.cloud.workers.sumOf(SimWorker::runningTasks), controllers.indices.map { figures(it, seconds) },
+            mapOf(
+                "report" to latencies.report, "submission" to latencies.submission, "cancellation" to latencies.cancellation, "poll" to latencies.poll,
+                "array start" to latencies.arrayStart, "urgent start" to latencies.urgentStart, "gang start" to latencies.gangStart,
+            ).mapValues { LatencyFigures.of(it.value) },
+            (meters.starts - base.starts) / seconds,
+            meters.busiest(begunAt, site.clock.now, 1), meters.busiest(begunAt, site.clock.now, 10),
+            meters.reportsServed - base.served, meters.reportsWithin1S - base.within1S, meters.reportsFailed - base.failed,
+            meters.leasesExpired - base.leases,
+            meters.refusals.mapValues { (what, n) -> n - (base.refusals[what] ?: 0L) }.filterValues { it > 0 },
+            (ownCpuS() - ownCpuAt) / seconds, site.lagUs.getValueAtPercentile(99.0) / 1000.0,
+        )
+    }
+
+    private fun figures(i: Int, seconds: Double): NodeFigures {
+        val node = nodes[i]
+        val now = meters.nodes[i]
+        val then = base.nodes[i]
+        fun rate(of: (NodeMeter) -> Long) = (of(now) - of(then)) / seconds
+        return NodeFigures(
+            controllers[i].name, site.transport.lastServer == i, node.cpuS / seconds, node.busiest, node.residentMb, node.sockets,
+            rate { it.reports }, rate { it.polls }, rate { it.submissions }, rate { it.stateRequests }, rate { it.stateRefused }, rate { it.puts },
+            rate { it.commands }, rate { it.frameBytes } / 1024,
+        )
+    }
+
+    private companion object {
+        const val SAMPLE_MS = 1_000L
+        const val SOCKETS_EVERY = 5
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/plankwall/lab/scale/ScaleSite.kt
@@ -0,0 +1,134 @@
+package plankwall.lab.scale
+
+import com.fasterxml.jackson.databind.JsonNode
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.withContext
+import org.HdrHistogram.Histogram
+import plankwall.lab.RuleChecker
+import plankwall.lab.SimClock
+import plankwall.lab.SimCloud
+import plankwall.lab.SimState
+import plankwall.lab.SimWorker
+import plankwall.lab.WorkerHost
+import plankwall.model.Catalog
+import plankwall.model.GroupKey
+import plankwall.model.JobSpec
+import plankwall.model.MachineType
+import plankwall.model.Resources
+import plankwall.model.Settings
+import plankwall.wire.Report
+import java.util.Random
+
+/**
+ * The stand-ins of a scale run, on one thread and one clock that follows real time: state service, cloud, workers and the
+ * rule checker. Whoever comes from a socket goes through [enter], so that nothing sees the clock stand still.
+ */
+class ScaleSite(
+    val plan: ScalePlan,
+    override val settings: Settings,
+    val scope: CoroutineScope,
+    val selector: SelectorManager,
+    val meters: Meters,
+) : WorkerHost {
+    override val clock = SimClock()
+    override val random = Random(plan.seed)
+    override val checker = RuleChecker(settings)
+    override val nodeNames: List<String> = List(plan.controllers, plan::nodeName)
+    val state = SimState(clock, settings.state).apply {
+        limits = settings.state
+        refusesBeyondRates = true
+        historyLimit = STATE_HISTORY
+    }
+    val transport = WorkerTransport(this)
+    val cloud = SimCloud(clock, random, catalog(plan), settings.cloud.listLagS, transport::addressOf) { id, group ->
+        SimWorker(this, id, group, transport.addressOf(id)).also(transport::attach)
+    }.apply { capacity = plan.workers }
+
+    private val specs = HashMap<String, JobSpec>()
+    private val startedAt = System.nanoTime()
+
+    /** How late the stand-ins' own events run, in microseconds: what they measure is off by as much. */
+    val lagUs = Histogram(MAX_LAG_US, 3)
+
+    /** Called when a task has begun to run. */
+    var onTaskStarted: (id: String, task: Int) -> Unit = { _, _ -> }
+
+    private fun elapsed(): Double = (System.nanoTime() - startedAt) / 1e9
+
+    suspend fun run() {
+        while (scope.isActive) {
+            val lag = ((elapsed() - clock.now) * 1e6).toLong() - TURN_MS * 1000
+            lagUs.recordValue(lag.coerceIn(0, MAX_LAG_US))
+            clock.runUntil(elapsed())
+            delay(TURN_MS)
+        }
+    }
+
+    /** Like [enter], for whoever is on another thread. */
+    suspend fun <T> onThread(action: () -> T): T = withContext(scope.coroutineContext) { enter(action) }
+
+    inline fun <T> enter(action: () -> T): T {
+        catchUp()
+        return action()
+    }
+
+    fun catchUp() = clock.runUntil(maxOf(clock.now, elapsed()))
+
+    fun register(spec: JobSpec) {
+        specs[spec.id] = spec
+    }
+
+    override fun submitted(id: String): JobSpec? = specs[id]
+
+    override fun isMistaken(id: String): Boolean = false
+
+    override fun sendReport(worker: SimWorker, node: Int, report: Report, then: (status: Int, body: JsonNode) -> Unit) =
+        transport.send(worker, node, report, then)
+
+    override fun checkStored(id: String, task: Int) = Unit
+
+    override fun onStarted(id: String, task: Int) {
+        meters.started(clock.now)
+        onTaskStarted(id, task)
+    }
+
+    override fun onCompleted(id: String) {
+        meters.completed++
+    }
+
+    override fun onLeaseExpired(worker: SimWorker, tasks: Int) {
+        meters.leasesExpired++
+        meters.tasksKilled += tasks
+    }
+
+    /** Adds the machines of the plan, spread over its zones; a third of them has accelerators. */
+    fun addMachines() {
+        val groups = plan.zoneNames.flatMap { zone -> listOf(GroupKey(PLAIN, zone, false), GroupKey(PLAIN, zone, false), GroupKey(ACCELERATED, zone, false)) }
+        val counts = IntArray(groups.size) { plan.workers / groups.size + if (it < plan.workers % groups.size) 1 else 0 }
+        groups.forEachIndexed { i, group -> cloud.addRunning(group, counts[i]) { random.nextDouble() * maxOf(settings.workers.reportS, plan.workers / ARRIVING_PER_S) } }
+    }
+
+    companion object {
+        const val PLAIN = "plain"
+        const val ACCELERATED = "accelerated"
+        private const val TURN_MS = 2L
+        private const val MAX_LAG_US = 60_000_000L
+
+        /** Changes that the state service keeps (PROTOCOL). */
+        private const val STATE_HISTORY = 10_000
+
+        private const val BOOT_S = 60.0
+
+        /** Workers that come for the first time, a second: a herd of all is a fault of its own. */
+        private const val ARRIVING_PER_S = 400.0
+
+        fun catalog(plan: ScalePlan): Catalog {
+            fun type(name: String, gpus: Long) =
+                MachineType(name, Resources(10_000, gpus, 64_000), 100.0, 1.0, 1.0 + gpus / 1000.0, 0.0, BOOT_S, plan.zoneNames)
+            return Catalog(listOf(type(PLAIN, 0), type(ACCELERATED, 4_000)))
+        }
+    }
+}
--- a/src/main/kotlin/plankwall/wire/JobCodec.kt
+++ b/src/main/kotlin/plankwall/wire/JobCodec.kt
@@ -146,6 +146,9 @@
         if (ids.isNotEmpty()) arr(field) { ids.forEach { writeString(it) } }
     }
 
+    /** A submission as users send it, with every flag. */
+    fun description(s: JobSpec): ByteArray = writeJson { obj { write(this, s) } }
+
     fun write(g: JsonGenerator, s: JobSpec) {
         g.writeStringField("id", s.id)
         g.writeStringField("docket", s.jobClass)
--- a/src/main/kotlin/plankwall/wire/StateCodec.kt
+++ b/src/main/kotlin/plankwall/wire/StateCodec.kt
@@ -97,11 +97,12 @@
     fun grant(ttlMs: Long): ByteArray = writeJson { obj { writeNumberField("life_ms", ttlMs) } }
 
     /** The value comes as bytes first, since its key, which says what it is, may stand behind it. */
-    private class Entry {
+    internal class Entry {
         var key: String? = null
         var removed: String? = null
         var data: ByteArray? = null
         var version = 0L
+        var lease: Long? = null
 
         fun value(): Stored? {
             val k = key ?: return null
@@ -114,7 +115,7 @@
         }
     }
 
-    private fun com.fasterxml.jackson.core.JsonParser.entry(): Entry {
+    internal fun com.fasterxml.jackson.core.JsonParser.entry(): Entry {
         val entry = Entry()
         fields { name ->
             when (name) {
@@ -126,6 +127,7 @@
                     entry.data = out.toByteArray()
                 }
                 "stamp" -> entry.version = whole(name)
+                "permit" -> entry.lease = whole(name)
             }
         }
         return entry
--- /dev/null
+++ b/src/main/kotlin/plankwall/wire/StateServiceCodec.kt
@@ -0,0 +1,78 @@
+package plankwall.wire
+
+import com.fasterxml.jackson.core.JsonGenerator
+import plankwall.wire.StateCodec.entry
+
+/** The state service's side of its protocol, for stand-ins: reads what [StateCodec] writes and writes what it reads. */
+object StateServiceCodec {
+    fun readTxn(bytes: ByteArray): StateOp.Txn = parseJson(bytes) { p ->
+        val guards = ArrayList<Guard>()
+        val writes = ArrayList<Write>()
+        p.fields { name ->
+            when (name) {
+                "guards" -> elements { guards.add(entry().guard()) }
+                "writes" -> elements { writes.add(entry().write()) }
+            }
+        }
+        StateOp.Txn(guards, writes)
+    }
+
+    private fun StateCodec.Entry.guard(): Guard = Guard(key ?: throw BadMessage("guard: no key"), version)
+
+    private fun StateCodec.Entry.write(): Write {
+        removed?.let { return Write.Remove(it) }
+        val target = key ?: throw BadMessage("write: no key")
+        return Write.Put(target, value() ?: throw BadMessage("write: a value of an unknown kind under $target"), lease)
+    }
+
+    fun readGrant(bytes: ByteArray): StateOp.Grant = parseJson(bytes) { p ->
+        var ttlMs = -1L
+        p.fields { name -> if (name == "life_ms") ttlMs = whole(name) }
+        if (ttlMs <= 0) throw BadMessage("life_ms: missing")
+        StateOp.Grant(ttlMs)
+    }
+
+    fun write(result: StateResult): ByteArray = writeJson {
+        obj {
+            when (result) {
+                is StateResult.Item -> result.item?.let { itemFields(it) }
+                is StateResult.Items -> items(result)
+                is StateResult.News -> news(result)
+                is StateResult.Committed -> writeNumberField("ledger", result.revision)
+                is StateResult.Conflict -> arr("failed") { result.failed.forEach { writeString(it) } }
+                is StateResult.Granted -> writeNumberField("permit", result.lease)
+                else -> writeStringField("error", result.toString())
+            }
+        }
+    }
+
+    private fun JsonGenerator.itemFields(item: StateItem) {
+        writeStringField("key", item.key)
+        writeFieldName("data")
+        RecordCodec.write(this, item.value)
+        writeNumberField("stamp", item.version)
+    }
+
+    private fun JsonGenerator.items(result: StateResult.Items) {
+        arr("items") { result.items.forEach { obj { itemFields(it) } } }
+        writeBooleanField("has_next", result.more)
+        writeNumberField("ledger", result.revision)
+    }
+
+    private fun JsonGenerator.news(result: StateResult.News) {
+        writeNumberField("ledger", result.revision)
+        arr("news") {
+            result.events.forEach { event ->
+                obj {
+                    val value = event.value
+                    writeStringField(if (value == null) "remove" else "set", event.key)
+                    if (value != null) {
+                        writeFieldName("data")
+                        RecordCodec.write(this, value)
+                    }
+                    writeNumberField("stamp", event.version)
+                }
+            }
+        }
+    }
+}
--- a/src/main/kotlin/plankwall/wire/WorkerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/WorkerCodec.kt
@@ -82,6 +82,33 @@
         Report(machine, address, type, zone, spot, session, seq, token, notice, tasks)
     }
 
+    private val stageWords = stages.entries.associate { (word, stage) -> stage to word }
+    private val causeWords = causes.entries.associate { (word, cause) -> cause to word }
+
+    /** A report as a worker sends it, for stand-ins. */
+    fun writeReport(r: Report): ByteArray = writeJson {
+        obj {
+            writeStringField("berth", r.machine)
+            writeStringField("address", r.address)
+            writeStringField("build", r.type)
+            writeStringField("yard", r.zone)
+            writeBooleanField("loaners", r.spot)
+            writeNumberField("watch", r.session)
+            writeNumberField("tally", r.seq)
+            writeNumberField("baton", r.token)
+            r.noticeS?.let { writeNumberField("recall_s", it) }
+            arr("pieces") { r.tasks.forEach { obj { taskFields(it) } } }
+        }
+    }
+
+    private fun JsonGenerator.taskFields(t: TaskReport) {
+        writeStringField("piece", "${t.jobId}/${t.task}")
+        writeNumberField("try", t.attempt)
+        writeStringField("stage", stageWords.getValue(t.stage))
+        t.cause?.let { writeStringField("cause", causeWords.getValue(it)) }
+        if (t.saved) writeBooleanField("kept", true)
+    }
+
     private fun JsonParser.task(): TaskReport {
         var piece = ""
         var attempt = -1L
--- a/src/test/kotlin/plankwall/build/ArchitectureTest.kt
+++ b/src/test/kotlin/plankwall/build/ArchitectureTest.kt
@@ -34,10 +34,11 @@
         "gate" to setOf("model", "wire", "core.step", "identity", "access", "audit"),
         "lab" to setOf("model", "wire", "core", "core.step", "identity", "gate"),
         "io" to setOf("model", "wire", "core", "core.step"),
+        "lab.scale" to setOf("model", "wire", "io", "lab"),
         "cli.settings" to setOf("model", "identity", "access", "gate"),
         "cli.remote" to setOf("identity", "cli.settings"),
         "cli.access" to setOf("model", "wire", "core.step", "identity", "access", "audit", "cli.settings", "cli.remote"),
-        "cli" to setOf("model", "wire", "core.step", "io", "identity", "gate", "lab", "cli.settings", "cli.remote", "cli.access"),
+        "cli" to setOf("model", "wire", "core.step", "io", "identity", "gate", "lab", "lab.scale", "cli.settings", "cli.remote", "cli.access"),
     )
 
     private val classes = ClassFileImporter().withImportOption(ImportOption.DoNotIncludeTests()).importPackages("plankwall")
