Workers' sessions on every controller: the leader spreads them, others pass reports on in batches

Cause: scale run, 6,500 workers, 15 controllers, code untouched: the leader used 0.93 of a core at rest (0.459 is what it has) and all of its 2,442 sockets, each report that reached another node was passed on by itself, and the other nodes used 0.03 to 0.5. Off by default: nothing changes.

--- a/src/main/kotlin/plankwall/cli/ScaleCommand.kt
+++ b/src/main/kotlin/plankwall/cli/ScaleCommand.kt
@@ -53,6 +53,9 @@
     @Option(names = ["--deploy"], paramLabel = "F", description = ["The file whose run line starts a controller (default: \${DEFAULT-VALUE})."])
     private var deploy = File("deploy/service.toml")
 
+    @Option(names = ["--tuning"], paramLabel = "F", description = ["The operators' own settings (YAML) for the controllers."])
+    private var tuning: File? = null
+
     @Option(names = ["--folder"], paramLabel = "DIR", description = ["Keeps settings and logs of the controllers here (default: a new folder under the temporary one)."])
     private var folder: File? = null
 
@@ -66,7 +69,7 @@
         if (!deploy.isFile) throw BadSettings("$deploy: no such file; run this at the root of the project, after a build")
         val figures = try {
             val into = folder ?: Files.createTempDirectory("plankwall-scale").toFile()
-            ScaleRun(plan(), deploy, into, nodeLog) { println(it) }.play()
+            ScaleRun(plan(), deploy, into, tuning, nodeLog) { println(it) }.play()
         } catch (e: BadScalePlan) {
             throw BadSettings(e.message.orEmpty())
         }
--- a/src/main/kotlin/plankwall/cli/settings/TuningFile.kt
+++ b/src/main/kotlin/plankwall/cli/settings/TuningFile.kt
@@ -18,6 +18,7 @@
         "unneeded_s" to Key(0.0..7200.0) { t, v -> t.copy(unneededS = v) },
         "after_rental_s" to Key(0.0..3600.0) { t, v -> t.copy(afterRentalS = v) },
         "leader_lease_s" to Key(1.0..60.0) { t, v -> t.copy(leaderLeaseS = v) },
+        "spread_sessions_at" to Key(0.0..1.0) { t, v -> t.copy(spreadSessionsAt = v) },
         "outage_grace_leases" to Key(0.5..20.0) { t, v -> t.copy(outageGraceLeases = v) },
     )
 
--- a/src/main/kotlin/plankwall/core/Controller.kt
+++ b/src/main/kotlin/plankwall/core/Controller.kt
@@ -7,6 +7,7 @@
 import plankwall.core.lead.Leadership
 import plankwall.core.links.LinkPicture
 import plankwall.core.relay.WorkerRelay
+import plankwall.core.sessions.ReportBases
 import plankwall.core.step.Context
 import plankwall.core.step.Effect
 import plankwall.core.step.Gate
@@ -16,6 +17,8 @@
 import plankwall.core.step.Visitor
 import plankwall.model.Settings
 import plankwall.model.Tuning
+import plankwall.wire.AnswerBatch
+import plankwall.wire.BatchedAnswer
 import plankwall.wire.JobCodec
 import plankwall.wire.JobProgress
 import plankwall.wire.PeerStatus
@@ -23,6 +26,7 @@
 import plankwall.wire.RelayedAnswer
 import plankwall.wire.RelayedReport
 import plankwall.wire.Report
+import plankwall.wire.ReportBatch
 import plankwall.wire.WorkerCodec
 import java.util.Random
 
@@ -46,6 +50,7 @@
     private val gate = gate?.invoke(ctx)
     private val front = FrontDesk(ctx, leadership, market, ::progressOf, board::forget, keepFacts = gate != null)
     private var nextStatus = 0.0
+    private var bases = ReportBases()
 
     init {
         leadership.cancellations.onLearned = { term?.cancelled(it) }
@@ -76,6 +81,8 @@
                 is ProgressNews -> board.hear(message, front::isLive)
                 is RelayedReport -> relayed(message)
                 is RelayedAnswer -> relay.answered(message)
+                is ReportBatch -> batched(message)
+                is AnswerBatch -> relay.answered(message)
             }
         }
         return ctx.out.take()
@@ -101,7 +108,10 @@
 
     private fun begin() {
         relay.leads()
+        bases = ReportBases()
         term = LeadershipTerm(ctx, leadership, market).also { it.begin() }
+        // The workers that other nodes serve are to stay there: who leads now had better be known at once.
+        if (leadership.picture.lastSessionPlan != null) nextStatus = ctx.now
     }
 
     private fun end() {
@@ -120,7 +130,7 @@
         if (ctx.now >= nextStatus) {
             nextStatus = ctx.now + 1.0
             val links = leadership.links(relay.turnUps).copy(zones = term?.zones().orEmpty())
-            ctx.out.add(Effect.PeerSend(leadership.status(relay.strays, links)))
+            ctx.out.add(Effect.PeerSend(leadership.status(relay.strays, links, term?.sessionPlan)))
             term?.news()?.forEach { ctx.out.add(Effect.PeerSend(it)) }
         }
     }
@@ -135,22 +145,49 @@
         val refused = refused(input.from, input.report)
         if (refused != null) return ctx.out.answer(input.request, 403, JobCodec.error(refused))
         term?.isForeign(input.report)
-        val answer = answer(input.report, straight = true)
+        val answer = answer(input.report, ctx.settings.node)
         if (answer == null) relay.checkIn(input)
         else ctx.out.answer(input.request, answer.status, answer.body, answer.retryAfterS)
     }
 
     /** A report that another node passes on since its worker can't come here. */
     private fun relayed(message: RelayedReport) {
-        // Held back on the way: its worker has given up, and a newer report may be anywhere by now.
-        if (leadership.picture.ageOf(message.echo) > LinkPicture.FRESH_S) return
-        val refused = refused(message.address, message.report)
-        term?.isForeign(message.report)
-        val answer = if (refused != null) WorkerAnswer(403, JobCodec.error(refused)) else answer(message.report, straight = false)
-        val told = answer ?: WorkerAnswer(503, JobCodec.error("does not lead"))
+        if (isHeldBack(message.echo)) return
+        val told = answerRelayed(message.from, message.address, message.report)
         ctx.out.add(Effect.PeerSend(RelayedAnswer(ctx.settings.node, message.id, told.status, told.body), message.from))
     }
 
+    /** Held back on the way: its worker has given up, and a newer report may be anywhere by now. */
+    private fun isHeldBack(echo: Long): Boolean = leadership.picture.ageOf(echo) > LinkPicture.FRESH_S
+
+    private fun answerRelayed(from: String, address: String, report: Report): WorkerAnswer {
+        val refused = refused(address, report)
+        term?.isForeign(report)
+        val answer = if (refused != null) WorkerAnswer(403, JobCodec.error(refused)) else answer(report, from)
+        return answer ?: WorkerAnswer(503, JobCodec.error("does not lead"))
+    }
+
+    /** Reports of workers whose sessions another node serves. Meant for another epoch, they are for nobody here. */
+    private fun batched(batch: ReportBatch) {
+        val epoch = leadership.epoch
+        if (batch.epoch != epoch || isHeldBack(batch.echo)) return
+        val answers = ArrayList<BatchedAnswer>()
+        var bytes = 0
+        for (sent in batch.reports) {
+            val report = bases.resolve(batch.from, sent)
+            val told = report?.let { answerRelayed(batch.from, sent.address, it) }
+            val answer = BatchedAnswer(sent.id, told?.status ?: BatchedAnswer.RESEND, told?.body ?: NO_BODY)
+            if (bytes + answer.body.size > ANSWER_BYTES && answers.isNotEmpty()) {
+                ctx.out.add(Effect.PeerSend(AnswerBatch(ctx.settings.node, epoch, answers.toList()), batch.from))
+                answers.clear()
+                bytes = 0
+            }
+            answers.add(answer)
+            bytes += answer.body.size + ANSWER_OVERHEAD
+        }
+        if (answers.isNotEmpty()) ctx.out.add(Effect.PeerSend(AnswerBatch(ctx.settings.node, epoch, answers), batch.from))
+    }
+
     private fun refused(from: String, report: Report): String? =
         gate?.workerRefused(from, report.address, term?.listedAddress(report.machine))
             ?.also { log.warn("report of {} from {} refused: {}", report.machine, from, it) }
@@ -158,13 +195,21 @@
     private class WorkerAnswer(val status: Int, val body: ByteArray, val retryAfterS: Int? = null)
 
     /** The leader's answer; null where this node may not give one. */
-    private fun answer(report: Report, straight: Boolean): WorkerAnswer? {
+    private fun answer(report: Report, through: String): WorkerAnswer? {
         val current = term
         if (current == null || !leadership.mayAnswer) return null
-        return when (val word = current.checkIn(report, straight)) {
+        return when (val word = current.checkIn(report, through)) {
             is LeadershipTerm.Word.Orders -> WorkerAnswer(200, WorkerCodec.answer(current.tokenFor(report.machine), word.orders))
-            LeadershipTerm.Word.ComeHere -> WorkerAnswer(421, WorkerCodec.reportTo(ctx.settings.node))
+            is LeadershipTerm.Word.ReportTo -> WorkerAnswer(421, WorkerCodec.reportTo(word.node))
             LeadershipTerm.Word.Refused -> WorkerAnswer(503, JobCodec.error("an old report"), 1)
         }
     }
+
+    private companion object {
+        val NO_BODY = ByteArray(0)
+
+        /** Below the largest frame; an answer's orders are bounded far below that. */
+        const val ANSWER_BYTES = 40_000
+        const val ANSWER_OVERHEAD = 20
+    }
 }
--- a/src/main/kotlin/plankwall/core/LeadershipTerm.kt
+++ b/src/main/kotlin/plankwall/core/LeadershipTerm.kt
@@ -6,7 +6,6 @@
 import plankwall.core.jobs.JobBook
 import plankwall.core.jobs.Machine
 import plankwall.core.jobs.ProgressTeller
-import plankwall.core.lead.Divided
 import plankwall.core.lead.LeaderStore
 import plankwall.core.lead.Leadership
 import plankwall.core.lead.Upgrade
@@ -15,6 +14,7 @@
 import plankwall.core.relay.DirectReach
 import plankwall.core.relay.LeadershipTransfer
 import plankwall.core.rental.RentalLoop
+import plankwall.core.sessions.SessionPlanner
 import plankwall.core.step.Context
 import plankwall.core.step.Effect
 import plankwall.core.step.TermPower
@@ -27,6 +27,7 @@
 import plankwall.wire.PageRecord
 import plankwall.wire.ProgressNews
 import plankwall.wire.Report
+import plankwall.wire.SessionPlan
 import plankwall.wire.StateItem
 import plankwall.wire.StateResult
 import plankwall.wire.TaskStage
@@ -48,11 +49,12 @@
     private val outlook = Outlook(ctx, fleet, ctx.now)
     private val rental = RentalLoop(ctx, store, book, fleet, placer, outlook, ctx.now) { fleet.surelyEmptyAt(it, leadership.othersSilent) }
     private val upgrade = Upgrade(leadership, store)
+    private val catalogs = CatalogWriter(store, market)
     private val teller = ProgressTeller(book)
-    private val reach = DirectReach(ctx, fleet, outlook)
+    private val sessions = SessionPlanner(ctx, leadership.picture, fleet, leadership.epoch, leadership.picture.lastSessionPlan)
+    private val reach = DirectReach(ctx, fleet, outlook, sessions)
     private val transfer = LeadershipTransfer(ctx, leadership, fleet, outlook, reach)
     private var loaded = false
-    private var savingCatalog = false
 
     fun begin() {
         store.readAll(Keys.FLEET) { items, _ ->
@@ -105,6 +107,7 @@
     fun tick() {
         market.catalog?.let { if (fleet.catalog == null) fleet.catalog = it }
         fleet.catalog?.let { market.catalog = it }
+        sessions.tick()
         if (!loaded) return
         if (leadership.mayWrite) {
             // A leader that may have been replaced does not hear its workers for that reason: it concludes nothing.
@@ -113,7 +116,7 @@
             placer.plan()
             book.flush()
             upgrade.tick()
-            saveCatalog()
+            fleet.catalog?.let(catalogs::save)
         }
         rental.tick()
         sendUrgent()
@@ -127,17 +130,22 @@
     sealed interface Word {
         class Orders(val orders: List<Order>) : Word
 
-        /** Came through another node, and can come straight. */
-        data object ComeHere : Word
+        /** The worker had better report to [node]. */
+        data class ReportTo(val node: String) : Word
 
         data object Refused : Word
     }
 
-    /** [straight]: whether the report came to this node itself rather than through another. */
-    fun checkIn(r: Report, straight: Boolean): Word {
+    /** [through]: the node that the report came to. */
+    fun checkIn(r: Report, through: String): Word {
         if (fleet.isGone(r.machine)) return Word.Refused
         val m = fleet.machine(r.machine)
-        if (straight) reach.cameStraight(m) else if (reach.cameThrough(m)) return Word.ComeHere
+        reach.elsewhere(m, r.zone, through)?.let { return Word.ReportTo(it) }
+        if (through == ctx.settings.node) {
+            reach.cameStraight(m)
+        } else if (reach.cameThrough(m, r.zone)) {
+            return Word.ReportTo(ctx.settings.node)
+        }
         val orders = if (loaded) desk.checkIn(r) else keepLease(m, r)
         return if (orders == null) Word.Refused else Word.Orders(orders)
     }
@@ -182,7 +190,7 @@
     /** Also without the state service: a stop needs nothing stored, and what is stored already may start. */
     private fun sendUrgent() {
         for (m in fleet.machines) {
-            if (reach.onlyThroughOthers(m)) continue
+            if (!m.unsent || reach.onlyThroughOthers(m)) continue
             val orders = desk.urgent(m) ?: continue
             m.token = maxOf(m.token, store.lastRevision)
             post(m, m.session, orders)
@@ -192,11 +200,16 @@
     /** Machines whose reports come through others are tried with a command that orders nothing. */
     private fun probe() = reach.toProbe().forEach { post(it, it.session, emptyList()) }
 
-    private fun post(m: Machine, session: Long, orders: List<Order>) =
+    private fun post(m: Machine, session: Long, orders: List<Order>) {
+        reach.commanded(m)
         ctx.out.add(Effect.WorkerPost(m.id, m.address, WorkerCodec.commands(tokenFor(m.id), session, orders)))
+    }
 
     fun zones(): List<ZoneReach> = reach.zones()
 
+    /** Which nodes serve workers' sessions; null while all come here. */
+    val sessionPlan: SessionPlan? get() = sessions.plan
+
     /** Shows machines the new token directly, so that they drop the answers of an older leader that goes on. */
     private fun announce() {
         if (ctx.now > leadership.wonAt + ctx.outageGraceS + ctx.surelyOverS) return
@@ -212,22 +225,6 @@
         }
     }
 
-    private fun saveCatalog() {
-        val catalog = fleet.catalog ?: return
-        if (savingCatalog || market.storedTypes == catalog.types.map { it.name }) return
-        val pieces = Divided.catalog(catalog, if (store.limits.mayDivide) store.limits.txnOps else 1, store.limits.wholeBytes)
-        // What can't be stored is asked of the cloud by every node instead, and not tried again.
-        if (pieces == null) {
-            if (store.limits.mayDivide) market.storedTypes = catalog.types.map { it.name }
-            return
-        }
-        savingCatalog = true
-        store.write(emptyList(), Divided.writes(Keys.CATALOG, pieces, 0)) { result ->
-            savingCatalog = false
-            if (result is StateResult.Committed) market.storedTypes = catalog.types.map { it.name }
-        }
-    }
-
     /** Where the cloud says [machine] is; null if it has not been listed yet. */
     fun listedAddress(machine: String): String? = fleet.find(machine)?.listedAddress?.takeIf { it.isNotEmpty() }
 
--- a/src/main/kotlin/plankwall/core/lead/Leadership.kt
+++ b/src/main/kotlin/plankwall/core/lead/Leadership.kt
@@ -14,6 +14,8 @@
 import plankwall.wire.LinkReport
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
+import plankwall.wire.SessionNews
+import plankwall.wire.SessionPlan
 import plankwall.wire.StateItem
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
@@ -222,9 +224,9 @@
         return picture.report(turnUps, own, successor)
     }
 
-    fun status(strayWorkers: Int, links: LinkReport) = PeerStatus(
+    fun status(strayWorkers: Int, links: LinkReport, sessions: SessionPlan? = null) = PeerStatus(
         ctx.settings.node, ctx.incarnation, epochSeen, leading, resignedEpoch, picture.storeReachable, strayWorkers, PeerCodec.LEVEL, links,
-        cancellations.news(links.seq),
+        cancellations.news(links.seq), SessionNews(ctx.settings.sessionCapacity, sessions),
     )
 
     private companion object {
--- a/src/main/kotlin/plankwall/core/links/LinkPicture.kt
+++ b/src/main/kotlin/plankwall/core/links/LinkPicture.kt
@@ -4,6 +4,7 @@
 import plankwall.wire.CloudResult
 import plankwall.wire.LinkReport
 import plankwall.wire.PeerStatus
+import plankwall.wire.SessionPlan
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
 import plankwall.wire.StoreUse
@@ -19,6 +20,10 @@
     private class Heard(val status: PeerStatus, val at: Double, val provenAt: Double, val echoedAt: Double)
 
     private val peers = HashMap<String, Heard>()
+
+    /** The newest plan of sessions that any leader told, also of one that is gone since. */
+    var lastSessionPlan: SessionPlan? = null
+        private set
     private val storeOk = DoubleArray(StoreUse.entries.size) { Double.NaN }
     private var cloudOk = Double.NaN
     private var storeMisses = 0
@@ -41,6 +46,7 @@
         val echoedAt = echoed?.let { sentAt[it] } ?: Double.NEGATIVE_INFINITY
         val proven = if (echoed == null) ctx.now else echoedAt
         peers[status.node] = Heard(status, ctx.now, proven, echoedAt)
+        status.sessions?.plan?.let { if (it.epoch >= (lastSessionPlan?.epoch ?: 0L)) lastSessionPlan = it }
         return true
     }
 
--- a/src/main/kotlin/plankwall/core/relay/DirectReach.kt
+++ b/src/main/kotlin/plankwall/core/relay/DirectReach.kt
@@ -4,6 +4,7 @@
 import plankwall.core.jobs.Fleet
 import plankwall.core.jobs.Machine
 import plankwall.core.outlook.Outlook
+import plankwall.core.sessions.SessionPlanner
 import plankwall.core.step.Context
 import plankwall.wire.ZoneReach
 
@@ -12,7 +13,7 @@
  * tries in vain loses several seconds of its lease and lands anywhere, so none is called on suspicion: the leader first
  * reaches the machine itself, which takes packets both ways.
  */
-class DirectReach(private val ctx: Context, private val fleet: Fleet, private val outlook: Outlook) {
+class DirectReach(private val ctx: Context, private val fleet: Fleet, private val outlook: Outlook, private val sessions: SessionPlanner) {
     private class Reach {
         var directAt = Machine.NEVER
         var relayedAt = Machine.NEVER
@@ -24,11 +25,20 @@
 
         /** While its reports came through others there was a time when nobody of its zone came straight: the zone's link, not its own. */
         var withZone = false
+
+        /** The node that is to serve its session, when that last did, and when it was last sent there. */
+        var home = ""
+        var homeAt = Machine.NEVER
+        var sentHomeAt = Machine.NEVER
+        var homePauseS = 0.0
     }
 
     private val log = LoggerFactory.getLogger("relay")
     private val byMachine = HashMap<Int, Reach>()
     private val lastOpen = HashMap<String, Double>()
+
+    /** By zone, since when commands to machines whose sessions other nodes serve have gone unanswered. */
+    private val unansweredSince = HashMap<String, Double>()
     private val times = ctx.settings.workers
     private var lastReached = Machine.NEVER
     private var lastThrough = Machine.NEVER
@@ -49,8 +59,35 @@
         if (reach.pauseS > 0 && ctx.now - reach.relayedAt > times.leaseS * 2) reach.pauseS = 0.0
     }
 
+    /**
+     * The node that the worker of [m] is to be sent to, whose report came to [through]; null if it is to be served as it came. A worker
+     * that was at its node a lease ago has left it for a reason, and one that was sent there and is here has not got there: both are
+     * served as they come for a while, longer each time.
+     */
+    fun elsewhere(m: Machine, zone: String, through: String): String? {
+        val home = sessions.homeOf(m.id, zone) ?: return null
+        val reach = of(m)
+        if (reach.home != home) {
+            reach.home = home
+            reach.homeAt = Machine.NEVER
+            reach.sentHomeAt = Machine.NEVER
+            reach.homePauseS = times.leaseS
+        }
+        if (through == home) {
+            reach.homeAt = ctx.now
+            reach.homePauseS = times.leaseS
+            return null
+        }
+        if (ctx.now - maxOf(reach.homeAt, reach.sentHomeAt) < reach.homePauseS) return null
+        if (reach.sentHomeAt > reach.homeAt) reach.homePauseS = (reach.homePauseS * 2).coerceAtMost(times.leaseS * MAX_PAUSE_LEASES)
+        reach.sentHomeAt = ctx.now
+        return home
+    }
+
     /** A report through another node. True if the worker had better come itself: the report is not taken then. */
-    fun cameThrough(m: Machine): Boolean {
+    fun cameThrough(m: Machine, zone: String): Boolean {
+        // As planned: its own way here is not known, and not asked for.
+        if (sessions.homeOf(m.id, zone) != null) return false
         val reach = of(m)
         // Called before, and not here since: the way that the leader found open is closed to the worker.
         if (reach.calledAt > reach.directAt && reach.calledAt > reach.reachedAt) {
@@ -76,7 +113,10 @@
     /** The machine answered a direct command: the way is open in both directions. */
     fun reached(m: Machine) {
         of(m).reachedAt = ctx.now
-        m.group?.let { lastOpen[it.zone] = ctx.now }
+        m.group?.let {
+            lastOpen[it.zone] = ctx.now
+            unansweredSince.remove(it.zone)
+        }
         lastReached = ctx.now
     }
 
@@ -85,10 +125,26 @@
      * nodes, and either nobody of its zone comes straight or it was called in vain.
      */
     fun onlyThroughOthers(m: Machine): Boolean {
+        if (sessions.homeOf(m) != null) return isShut(m)
         val reach = byMachine[m.ix.value] ?: return false
         return reach.relayedAt > maxOf(reach.directAt, reach.reachedAt) && (ctx.now < reach.notBefore || !isOpen(m))
     }
 
+    /**
+     * Commands to the machine's zone go unanswered. Half of the time they are let through all the same, so that it shows when
+     * the way is open again.
+     */
+    private fun isShut(m: Machine): Boolean {
+        val zone = m.group?.zone ?: return false
+        val since = unansweredSince[zone] ?: return false
+        return (ctx.now - since) % (SHUT_S * 2) >= SHUT_S
+    }
+
+    /** A command was sent to [m]. */
+    fun commanded(m: Machine) {
+        if (sessions.homeOf(m) != null) m.group?.let { unansweredSince.putIfAbsent(it.zone, ctx.now) }
+    }
+
     /** Somebody of the machine's zone has come straight, or was reached, within a report interval. */
     private fun isOpen(m: Machine): Boolean = ctx.now - (lastOpen[m.group?.zone] ?: Machine.NEVER) < times.longestReportS
 
@@ -119,7 +175,7 @@
         val overdueS = times.longestReportS + 0.5
         for (m in fleet.machines) {
             val zone = m.group?.zone ?: continue
-            if (m.returning || !(m.registered || (outlook.firstAreBack && outlook.isAwaited(m)))) continue
+            if (m.returning || sessions.homeOf(m) != null || !(m.registered || (outlook.firstAreBack && outlook.isAwaited(m)))) continue
             known.merge(zone, 1, Int::plus)
             if (ctx.now - (byMachine[m.ix.value]?.directAt ?: Machine.NEVER) > overdueS) late.merge(zone, 1, Int::plus)
         }
@@ -143,5 +199,8 @@
         const val PROBES_SHUT = 2.0
         const val PROBES_OPEN = 40.0
         const val LINE_S = 5.0
+
+        /** A worker answers a command within 3 s, or its caller gives up. */
+        const val SHUT_S = 4.0
     }
 }
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -43,10 +43,7 @@
     private val peers = PeerLinks(scope, selector, settings.peers, identities?.frames?.invoke(incarnation)) { feed(Input.PeerHeard(it)) }
 
     suspend fun run() {
-        // Every worker of the site keeps a connection to the leader: whatever this node does not need itself is theirs.
-        val own = OWN_CONNECTIONS + PER_PEER * settings.peers.size
-        val connections = maxOf(settings.maxConnections - own, settings.maxConnections / 2)
-        HttpServer(scope, selector, connections, ::handle).start(settings.front)
+        HttpServer(scope, selector, settings.frontConnections, ::handle).start(settings.front)
         peers.listen(settings.internal)
         log.info("{} serves on {}, peers on {}", settings.node, settings.front, settings.internal)
         log.info("aims are stated for {}; other classes without a guarantee take what is left", settings.objectives.mapNotNull { it.jobClass }.toSet())
@@ -177,9 +174,6 @@
         const val MAX_WORKER_POSTS = 40
         const val MAX_QUEUED_POSTS = 400
 
-        /** What this node opens itself: calls of the state service, the cloud and workers, links to and from peers. */
-        const val OWN_CONNECTIONS = 70
-        const val PER_PEER = 6
         const val WORKER_MS = 3_000L
         const val JOB_PATH = "/api/jobs/"
         const val WITHDRAW = "/withdraw"
--- a/src/main/kotlin/plankwall/lab/SimNode.kt
+++ b/src/main/kotlin/plankwall/lab/SimNode.kt
@@ -11,8 +11,7 @@
 import plankwall.wire.CloudResult
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
-import plankwall.wire.RelayedAnswer
-import plankwall.wire.RelayedReport
+import plankwall.wire.ProgressNews
 import plankwall.wire.StateOp
 import plankwall.wire.StateResult
 
@@ -90,8 +89,8 @@
     fun frame(bytes: ByteArray) {
         val d = door
         val sent = if (d == null) PeerCodec.read(bytes) else d.open(bytes, world.wallMs())
-        val message = if (name in world.older && sent is PeerStatus) sent.copy(links = null, withdrawals = null) else sent
-        check(name !in world.older || (message !is RelayedReport && message !is RelayedAnswer)) { "a frame that $name can't read" }
+        val message = if (name in world.older && sent is PeerStatus) sent.copy(links = null, withdrawals = null, sessions = null) else sent
+        check(name !in world.older || (message is PeerStatus || message is ProgressNews)) { "a frame that $name can't read" }
         if (message != null) feed(Input.PeerHeard(message))
     }
 
@@ -114,10 +113,10 @@
             is Effect.CloudCall -> cloudCall(e, mine)
             is Effect.WorkerPost -> if ("$name-workers" !in world.cuts) command(e, mine)
             is Effect.PeerSend -> if ("$name-peers" !in world.cuts) {
-                val plain = PeerCodec.write(if (name in world.older && e.message is PeerStatus) e.message.copy(links = null, withdrawals = null) else e.message)
+                val plain = PeerCodec.write(if (name in world.older && e.message is PeerStatus) e.message.copy(links = null, withdrawals = null, sessions = null) else e.message)
                 val bytes = door?.seal(plain, world.wallMs()) ?: plain
                 world.nodes.filter { it !== this && "${it.name}-peers" !in world.cuts && (e.to == null || e.to == it.name) }
-                    .forEach { peer -> wiring.carry(name, peer.name) { if (peer.up) peer.frame(bytes) } }
+                    .forEach { peer -> world.carryFrame(this, peer, bytes) }
             }
         }
     }
--- a/src/main/kotlin/plankwall/lab/World.kt
+++ b/src/main/kotlin/plankwall/lab/World.kt
@@ -88,6 +88,20 @@
     /** Share of transactions that are carried out at once and whose answer is lost. */
     var lostAnswers = 0.0
 
+    /** Share of the frames between controllers that are lost, and of which a copy arrives again some seconds later. */
+    var frameLoss = 0.0
+    var lateFrames = 0.0
+
+    internal fun carryFrame(from: SimNode, to: SimNode, bytes: ByteArray) {
+        if (frameLoss > 0 && random.nextDouble() < frameLoss) return feel("frames lost")
+        wiring.carry(from.name, to.name) { if (to.up) to.frame(bytes) }
+        if (lateFrames == 0.0 || random.nextDouble() >= lateFrames) return
+        clock.after(random.nextDouble() * LATEST_FRAME_S) {
+            feel("late frames")
+            if (to.up) to.frame(bytes)
+        }
+    }
+
     /** How often each trouble took hold: a test of a meeting says nothing where it did not. */
     val felt = HashMap<String, Int>()
 
@@ -308,6 +322,7 @@
 
     companion object {
         private const val POLL_EVERY_S = 5.0
+        private const val LATEST_FRAME_S = 8.0
         private const val POLL_PATIENCE_S = 2.0
         private const val MAX_COPIES = 60
         private val BIG = Resources(16_000, 4_000, 64_000)
--- a/src/main/kotlin/plankwall/lab/scale/ControllerFiles.kt
+++ b/src/main/kotlin/plankwall/lab/scale/ControllerFiles.kt
@@ -17,8 +17,11 @@
         return run.split(' ').filter { it.isNotEmpty() } + listOf(settings.path, "--tuning", tuning.path)
     }
 
-    /** Machines without work are kept for the whole run: it measures a size, not how fast machines are returned. */
-    fun writeTuning(file: File) = file.writeText("unneeded_s: 7200\n")
+    /**
+     * The operators' [own] settings. Machines without work are kept for the whole run: it measures a size, not how fast machines
+     * are returned.
+     */
+    fun writeTuning(file: File, own: File?) = file.writeText(own?.readText().orEmpty().trimEnd() + "\nunneeded_s: 7200\n")
 
     fun write(file: File, plan: ScalePlan, shared: Settings, index: Int, addresses: ControllerAddresses) {
         val mapper = TomlMapper()
--- a/src/main/kotlin/plankwall/lab/scale/FaultTimeline.kt
+++ b/src/main/kotlin/plankwall/lab/scale/FaultTimeline.kt
@@ -50,7 +50,7 @@
 
     private fun nodesOf(target: String): List<Int> = when (target) {
         "all" -> controllers.indices.toList()
-        "leader" -> listOf(site.transport.lastServer).filter { it >= 0 }
+        "leader" -> listOf(site.leader()).filter { it >= 0 }
         else -> controllers.indices.filter { plan.nodeName(it) == target || plan.zoneOfNode(it) in zonesOf(target) }
     }
 
--- a/src/main/kotlin/plankwall/lab/scale/Sampler.kt
+++ b/src/main/kotlin/plankwall/lab/scale/Sampler.kt
@@ -19,6 +19,7 @@
     private var begunAt = 0.0
     private var base = Baseline()
     private var ownCpuAt = 0.0
+    private var lastLeader = -1
 
     private inner class Baseline {
         val nodes = meters.nodes.map { it.copyOf() }
@@ -34,6 +35,7 @@
         var round = 0
         while (site.scope.isActive) {
             delay(SAMPLE_MS)
+            if (site.leader() >= 0) lastLeader = site.leader()
             controllers.forEach { it.restartIfEnded() }
             controllers.forEachIndexed { i, c -> note(nodes[i], c.sample(withSockets = round % SOCKETS_EVERY == 0)) }
             round++
@@ -88,7 +90,7 @@
         val then = base.nodes[i]
         fun rate(of: (NodeMeter) -> Long) = (of(now) - of(then)) / seconds
         return NodeFigures(
-            controllers[i].name, site.transport.lastServer == i, node.cpuS / seconds, node.busiest, node.residentMb, node.sockets,
+            controllers[i].name, lastLeader == i, node.cpuS / seconds, node.busiest, node.residentMb, node.sockets,
             rate { it.reports }, rate { it.polls }, rate { it.submissions }, rate { it.stateRequests }, rate { it.stateRefused }, rate { it.puts },
             rate { it.commands }, rate { it.frameBytes } / 1024,
         )
--- a/src/main/kotlin/plankwall/lab/scale/ScaleRun.kt
+++ b/src/main/kotlin/plankwall/lab/scale/ScaleRun.kt
@@ -18,12 +18,14 @@
 
 /**
  * A scale run from start to end. [deploy]: the file whose `run` line starts a controller. [folder]: for settings and logs.
+ * [tuning]: the operators' own settings.
  * [tell]: takes lines of progress.
  */
 class ScaleRun(
     private val plan: ScalePlan,
     private val deploy: File,
     private val folder: File,
+    private val tuning: File?,
     private val logLevel: String,
     private val tell: (String) -> Unit,
 ) {
@@ -108,7 +110,7 @@
         folder.mkdirs()
         val (fronts, internals) = FreePorts.take(plan.controllers * 2).map { Address(WorkerTransport.LOOPBACK, it) }.chunked(plan.controllers)
         site.transport.open(plan.workers, fronts)
-        val tuning = File(folder, "tuning.yaml").also(ControllerFiles::writeTuning)
+        val tuningFile = File(folder, "tuning.yaml").also { ControllerFiles.writeTuning(it, tuning) }
         val cloudRate = SimState.Meter(settings.cloud.rps, burstS = CLOUD_BURST_S)
         for (i in 0 until plan.controllers) {
             val peers = (0 until plan.controllers).filter { it != i }.associate { to ->
@@ -121,7 +123,7 @@
             val addresses = ControllerAddresses(fronts[i], internals[i], serve { state.handle(it) }, serve { cloud.handle(it) }, peers)
             val file = File(folder, "${plan.nodeName(i)}.toml")
             ControllerFiles.write(file, plan, settings, i, addresses)
-            controllers.add(ControllerProcess(plan.nodeName(i), plan.zoneOfNode(i), fronts[i], ControllerFiles.command(deploy, file, tuning), folder, logLevel))
+            controllers.add(ControllerProcess(plan.nodeName(i), plan.zoneOfNode(i), fronts[i], ControllerFiles.command(deploy, file, tuningFile), folder, logLevel))
         }
     }
 
--- a/src/main/kotlin/plankwall/lab/scale/ScaleSite.kt
+++ b/src/main/kotlin/plankwall/lab/scale/ScaleSite.kt
@@ -19,6 +19,8 @@
 import plankwall.model.MachineType
 import plankwall.model.Resources
 import plankwall.model.Settings
+import plankwall.wire.Keys
+import plankwall.wire.LeaderRecord
 import plankwall.wire.Report
 import java.util.Random
 
@@ -104,6 +106,9 @@
         meters.tasksKilled += tasks
     }
 
+    /** The controller that holds the leader's key, or -1. */
+    fun leader(): Int = nodeNames.indexOf((state.value(Keys.LEADER) as? LeaderRecord)?.node)
+
     /** Adds the machines of the plan, spread over its zones; a third of them has accelerators. */
     fun addMachines() {
         val groups = plan.zoneNames.flatMap { zone -> listOf(GroupKey(PLAIN, zone, false), GroupKey(PLAIN, zone, false), GroupKey(ACCELERATED, zone, false)) }
--- a/src/main/kotlin/plankwall/lab/scale/WorkerTransport.kt
+++ b/src/main/kotlin/plankwall/lab/scale/WorkerTransport.kt
@@ -41,10 +41,6 @@
     /** Zones whose workers get neither answers nor commands. */
     val answersLost: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
-    /** The controller that answered a worker last. */
-    var lastServer = -1
-        private set
-
     /** Opens a listener for each of [count] workers. [fronts]: where the controllers serve workers. */
     suspend fun open(count: Int, fronts: List<Address>) {
         this.fronts = fronts
@@ -109,7 +105,6 @@
             site.meters.reportsServed++
             if (tookS <= 1.0) site.meters.reportsWithin1S++
             served[worker.id]?.sentAt = sentAt
-            lastServer = node
         }
         then(outcome.status, answer)
     }
--- a/src/main/kotlin/plankwall/model/Settings.kt
+++ b/src/main/kotlin/plankwall/model/Settings.kt
@@ -70,6 +70,21 @@
     val stateTight: StateLimits = stateNext?.within(state) ?: state
 
     val nodes: Int get() = peers.size + 1
+
+    /** Connections that workers and users may have here: all but what this node opens itself and has with its peers. */
+    val frontConnections: Int get() = maxOf(maxConnections - OWN_CONNECTIONS - PER_PEER * peers.size, maxConnections / 2)
+
+    /** Workers whose sessions fit here, with room for users beside them. */
+    val sessionCapacity: Int get() = (frontConnections * PART_FOR_SESSIONS).toInt()
+
+    private companion object {
+        /** Calls of the state service, the cloud and workers. */
+        const val OWN_CONNECTIONS = 70
+
+        /** Links to and from a peer, with those that are being made anew. */
+        const val PER_PEER = 6
+        const val PART_FOR_SESSIONS = 0.85
+    }
 }
 
 /**
@@ -87,4 +102,9 @@
     val afterRentalS: Double = 0.0,
     val leaderLeaseS: Double = 0.0,
     val outageGraceLeases: Double = 3.0,
+    /**
+     * From which part of the leader's room for workers' sessions on they are spread over all controllers; 0: never. The
+     * leader's setting counts.
+     */
+    val spreadSessionsAt: Double = 0.0,
 )
--- a/src/main/kotlin/plankwall/wire/PeerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/PeerCodec.kt
@@ -8,6 +8,8 @@
     private const val PROGRESS = 2
     private const val REPORT = 3
     private const val ANSWER = 4
+    private const val REPORTS = 5
+    private const val ANSWERS = 6
     const val MAX_FRAME = 64 * 1024
 
     /** The first version, whose frames name no level. */
@@ -21,6 +23,8 @@
         is ProgressNews -> progress(message)
         is RelayedReport -> RelayCodec.write(Buffer().writeByte(REPORT), message)
         is RelayedAnswer -> RelayCodec.write(Buffer().writeByte(ANSWER), message)
+        is ReportBatch -> SessionCodec.write(Buffer().writeByte(REPORTS), message)
+        is AnswerBatch -> SessionCodec.write(Buffer().writeByte(ANSWERS), message)
     }
 
     private fun status(s: PeerStatus): ByteArray {
@@ -34,6 +38,8 @@
         s.links?.let { LinkCodec.write(body, it) }
         // The third one up to here.
         if (s.links != null) s.withdrawals?.let { WithdrawalCodec.write(body, it) }
+        // The fourth one up to here.
+        if (s.links != null && s.withdrawals != null) s.sessions?.let { SessionCodec.write(body, it) }
         return body.readByteArray()
     }
 
@@ -51,6 +57,8 @@
             PROGRESS -> readProgress(b)
             REPORT -> RelayCodec.readReport(b)
             ANSWER -> RelayCodec.readAnswer(b)
+            REPORTS -> SessionCodec.readReports(b)
+            ANSWERS -> SessionCodec.readAnswers(b)
             else -> throw BadMessage("peer: unknown kind of frame")
         }
     } catch (_: java.io.EOFException) {
@@ -68,7 +76,8 @@
         val level = if (b.exhausted()) FIRST_LEVEL else b.readInt()
         val links = if (b.exhausted()) null else LinkCodec.read(b)
         val withdrawals = if (b.exhausted()) null else WithdrawalCodec.read(b)
-        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, strays, level, links, withdrawals)
+        val sessions = if (b.exhausted()) null else SessionCodec.read(b)
+        return PeerStatus(node, incarnation, epochSeen, leading, resigned, reachable, strays, level, links, withdrawals, sessions)
     }
 
     private fun readProgress(b: Buffer): ProgressNews {
--- a/src/main/kotlin/plankwall/wire/PeerMessages.kt
+++ b/src/main/kotlin/plankwall/wire/PeerMessages.kt
@@ -23,6 +23,8 @@
     val links: LinkReport? = null,
     /** Null from a version that does not tell; it vouches for nothing then. */
     val withdrawals: WithdrawalNews? = null,
+    /** Null from a version that serves no worker's session for a leader, and that knows no [ReportBatch]. */
+    val sessions: SessionNews? = null,
 ) : PeerMessage {
     override val speaker: String get() = node
 
--- a/src/main/kotlin/plankwall/wire/RelayCodec.kt
+++ b/src/main/kotlin/plankwall/wire/RelayCodec.kt
@@ -27,7 +27,7 @@
         return RelayedAnswer(from, id, status, b.readByteArray(size.toLong()))
     }
 
-    private fun report(b: Buffer, r: Report) {
+    internal fun report(b: Buffer, r: Report) {
         b.name(r.machine).text(r.address).text(r.type).text(r.zone).flag(r.spot)
         b.writeLong(r.session).writeLong(r.seq).writeLong(r.token).flag(r.noticeS != null).writeLong((r.noticeS ?: 0.0).toBits())
         b.writeInt(r.tasks.size)
@@ -36,7 +36,7 @@
         }
     }
 
-    private fun readWorkerReport(b: Buffer): Report {
+    internal fun readWorkerReport(b: Buffer): Report {
         val machine = b.readName()
         val address = b.readText().orEmpty()
         val type = b.readText().orEmpty()
--- a/src/test/kotlin/plankwall/build/ArchitectureTest.kt
+++ b/src/test/kotlin/plankwall/build/ArchitectureTest.kt
@@ -9,7 +9,7 @@
 
 /** Which package may use which. A direction that is not in the table has to be argued for in docs/design.md first. */
 class ArchitectureTest {
-    private val core = setOf("core.step", "core.links", "core.cancellations", "core.lead", "core.jobs", "core.backlog", "core.placing", "core.outlook", "core.relay", "core.rental", "core.workers", "core.front")
+    private val core = setOf("core.step", "core.links", "core.cancellations", "core.lead", "core.jobs", "core.backlog", "core.placing", "core.outlook", "core.sessions", "core.relay", "core.rental", "core.workers", "core.front")
 
     private val allowed: Map<String, Set<String>> = mapOf(
         "model" to emptySet(),
@@ -22,7 +22,8 @@
         "core.backlog" to setOf("model", "wire", "core.step", "core.jobs"),
         "core.placing" to setOf("model", "wire", "core.step", "core.jobs", "core.backlog"),
         "core.outlook" to setOf("model", "wire", "core.step", "core.jobs"),
-        "core.relay" to setOf("model", "wire", "core.step", "core.links", "core.lead", "core.jobs", "core.outlook"),
+        "core.sessions" to setOf("model", "wire", "core.step", "core.links", "core.jobs"),
+        "core.relay" to setOf("model", "wire", "core.step", "core.links", "core.lead", "core.jobs", "core.outlook", "core.sessions"),
         "core.rental" to setOf("model", "wire", "core.step", "core.lead", "core.jobs", "core.backlog", "core.placing", "core.outlook"),
         "core.workers" to setOf("model", "wire", "core.step", "core.lead", "core.jobs"),
         "core.front" to setOf("model", "wire", "core.step", "core.links", "core.cancellations", "core.lead", "core.jobs"),
--- a/src/test/kotlin/plankwall/links/WorkerRelayTest.kt
+++ b/src/test/kotlin/plankwall/links/WorkerRelayTest.kt
@@ -14,11 +14,19 @@
 import plankwall.core.step.RequestId
 import plankwall.lab.World
 import plankwall.model.Tuning
+import plankwall.wire.AnswerBatch
+import plankwall.wire.BatchedAnswer
+import plankwall.wire.BatchedReport
 import plankwall.wire.LinkReport
 import plankwall.wire.PeerStatus
 import plankwall.wire.RelayedAnswer
 import plankwall.wire.RelayedReport
 import plankwall.wire.Report
+import plankwall.wire.ReportBatch
+import plankwall.wire.SessionNews
+import plankwall.wire.SessionPlan
+import plankwall.wire.SessionShare
+import plankwall.wire.WholeReport
 import plankwall.wire.ZoneReach
 import java.util.Random
 
@@ -32,25 +40,33 @@
     private var lastId = 0L
 
     /** n1 leads as [epoch]; [late] of its 40 machines in zone a do not come to it straight. */
-    private fun leads(epoch: Long, late: Int, known: Int = 40) {
+    private fun leads(epoch: Long, late: Int, known: Int = 40, plan: SessionPlan? = null) {
         val echo = picture.report(0, null, null).seq
         val links = LinkReport(echo, mapOf("n0" to echo), emptyList(), 0, 0, listOf(ZoneReach("a", known, late)), null, null)
         routing.hearOf(epoch)
-        picture.hear(PeerStatus("n1", 1, epoch, true, 0, true, 0, 2, links))
+        picture.hear(PeerStatus("n1", 1, epoch, true, 0, true, 0, 2, links, null, SessionNews(100, plan)))
     }
 
     private fun told(): String = ctx.out.take().joinToString(" ") {
         when (it) {
             is Effect.Answer -> "${it.status}"
-            is Effect.PeerSend -> (it.message as RelayedReport).let { m ->
-                lastId = m.id
-                "to:${it.to}"
+            is Effect.PeerSend -> when (val m = it.message) {
+                is RelayedReport -> "to:${it.to}".also { lastId = m.id }
+                is ReportBatch -> "batch:${it.to}:${m.epoch}:${m.reports.joinToString(",", transform = ::kind)}".also { lastId = m.reports.last().id }
+                else -> error("$m")
             }
             is Effect.WorkerPost -> "try:${it.machine.removePrefix("i-")}"
             else -> error("$it")
         }
     }
 
+    private fun kind(sent: BatchedReport) = if (sent is WholeReport) "whole" else "mark"
+
+    /** As epoch `w[1]`, with the sessions of zone a at node `w[2]`. */
+    private fun spreads(w: List<String>) = leads(w[1].toLong(), 0, plan = SessionPlan(w[1].toLong(), mapOf("a" to listOf(SessionShare(w[2], 1)))))
+
+    private fun answers(w: List<String>) = relay.answered(AnswerBatch(w[1], w[2].toLong(), listOf(BatchedAnswer(lastId + (w.getOrNull(4)?.toLong() ?: 0), w[3].toInt(), byteArrayOf(1)))))
+
     private fun step(word: String): String {
         when {
             word.startsWith("w") -> relay.checkIn(Input.CheckIn(RequestId(++requests), Report("i-$word", "x", "box", "a", false, 1, requests, 0, null, emptyList())))
@@ -58,6 +74,8 @@
                 ctx.time.advance(ctx.now + word.drop(1).toDouble(), 0)
                 relay.tick()
             }
+            word.startsWith("spreads:") -> spreads(word.split(':'))
+            word.startsWith("batch") -> answers(word.split(':'))
             word.startsWith("leads:") -> word.split(':').let { leads(it[1].toLong(), it[2].toInt(), it.getOrNull(3)?.toInt() ?: 40) }
             word.startsWith("answer") -> word.split(':').let { relay.answered(RelayedAnswer(it[1], lastId, it[2].toInt(), byteArrayOf(1))) }
             word == "lead" -> relay.leads()
@@ -88,6 +106,16 @@
         "'this node wins meanwhile', 'leads:5:40 w1 lead answer:n1:200', '- to:n1 503 -'",
         // The link to the leader is gone too: 503, and after a while another try.
         "'nothing heard of the leader any more', 'leads:5:0 w1 +5 w1', '- 421 - 503'",
+        // Sessions spread: reports go in batches, whoever serves the worker; the leader says where it belongs.
+        "'its session is served here', 'spreads:5:n0 w1 +0.1 batch:n1:5:200', '- - batch:n1:5:whole 200'",
+        "'unchanged: a mark, which waits a little, each time against the same whole report', 'spreads:5:n0 w1 +0.1 batch:n1:5:200 w1 +0.1 +0.15 batch:n1:5:200 w1 +0.25 batch:n1:5:200', '- - batch:n1:5:whole 200 - - batch:n1:5:mark 200 - batch:n1:5:mark 200'",
+        "'the leader does not have it: whole, and the worker is told once', 'spreads:5:n0 w1 +0.1 batch:n1:5:200 w1 +0.25 batch:n1:5:0 +0.1 batch:n1:5:200 batch:n1:5:200', '- - batch:n1:5:whole 200 - batch:n1:5:mark - batch:n1:5:whole 200 -'",
+        "'two workers, one frame', 'spreads:5:n0 w1 w2 +0.1', '- - - batch:n1:5:whole,whole'",
+        "'it belongs elsewhere: the leader says so', 'spreads:5:n2 w1 +0.1 batch:n1:5:421', '- - batch:n1:5:whole 421'",
+        "'an answer by another node, or of another epoch', 'spreads:5:n0 w1 +0.1 batch:n2:5:200 batch:n1:4:200 batch:n1:6:200 batch:n1:5:200', '- - batch:n1:5:whole - - - 200'",
+        "'an answer to another report', 'spreads:5:n0 w1 +0.1 batch:n1:5:200:1 batch:n1:5:200:-1 batch:n1:5:200', '- - batch:n1:5:whole - - 200'",
+        "'collected for one leader, another leads', 'spreads:5:n0 w1 spreads:9:n0 +0.1 w2 +0.1', '- - - - - batch:n1:9:whole'",
+        "'this node wins with a batch not sent', 'spreads:5:n0 w1 lead +0.1', '- - 503 -'",
         // Strays are told to the leader as far as this node could serve them: one that hears nobody's answers goes round all nodes too.
         "'those that a command reaches count', 'w1 w2 +0.1 reached:w1 reached:w2 strays', '503 503 try:w1 try:w2 - - 2'",
         "'none that hears nobody', 'w1 w2 +0.1 +1.5 strays', '503 503 try:w1 try:w2 - 0'",
@@ -100,6 +128,14 @@
         assertEquals(expected, steps.split(' ').joinToString(" ") { step(it) }, name)
     }
 
+    @Test
+    fun `where no more reports can wait a worker is told at once where it belongs`() {
+        step("spreads:5:n2")
+        val answers = (1..1000).map { step("w$it") }
+        assertEquals(ctx.settings.maxConnections / 4, answers.count { it == "-" })
+        assertEquals(750, answers.count { it == "421" })
+    }
+
     @Test
     fun `no more reports wait for an answer than the bound, the rest is told at once`() {
         leads(5, 40)
--- /dev/null
+++ b/src/test/kotlin/plankwall/sessions/ReportBatchTest.kt
@@ -0,0 +1,139 @@
+package plankwall.sessions
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import plankwall.core.links.Claim
+import plankwall.core.links.LinkPicture
+import plankwall.core.sessions.ReportBases
+import plankwall.core.sessions.ReportBatcher
+import plankwall.core.step.Context
+import plankwall.lab.World
+import plankwall.model.Tuning
+import plankwall.wire.AnswerBatch
+import plankwall.wire.BadMessage
+import plankwall.wire.BatchedAnswer
+import plankwall.wire.ExitCause
+import plankwall.wire.LinkReport
+import plankwall.wire.PeerCodec
+import plankwall.wire.PeerMessage
+import plankwall.wire.PeerStatus
+import plankwall.wire.Report
+import plankwall.wire.ReportBatch
+import plankwall.wire.SessionNews
+import plankwall.wire.SessionPlan
+import plankwall.wire.SessionShare
+import plankwall.wire.TaskReport
+import plankwall.wire.TaskStage
+import plankwall.wire.UnchangedReport
+import plankwall.wire.WholeReport
+import plankwall.wire.WithdrawalNews
+import java.util.Random
+
+/** Reports in batches: what is said of them in a few bytes, and what a frame that is not as it should be proves. */
+class ReportBatchTest {
+    private val ctx = Context(World.settings("n0", 3), Tuning(), 1000, Random(1)).apply { time.advance(100.0, 0) }
+    private val batcher = ReportBatcher(ctx, LinkPicture(ctx))
+    private val leader = Claim("n1", 5, 100.0)
+    private val task = TaskReport("job-000001", 3, 41, TaskStage.RUNNING, null, false)
+    private val base = Report("i-000001", "10.0.0.1:9", "box", "a", false, 2, 10, 5, null, listOf(task))
+
+    private fun sent(report: Report, id: Long, to: Claim = leader) = batcher.run {
+        add(id, to, "", report)
+        ctx.time.advance(ctx.now + 0.3, 0)
+        due(to.epoch) { true }.single().reports.single()
+    }
+
+    private fun changed(what: String): Report = when (what) {
+        "nothing" -> base.copy(seq = 11)
+        "token" -> base.copy(seq = 11, token = 9)
+        "session" -> base.copy(seq = 11, session = 3)
+        "address" -> base.copy(seq = 11, address = "10.0.0.2:9")
+        "stage" -> base.copy(seq = 11, tasks = listOf(task.copy(stage = TaskStage.SAVING)))
+        "ended" -> base.copy(seq = 11, tasks = listOf(task.copy(stage = TaskStage.EXITED, cause = ExitCause.DONE)))
+        "attempt" -> base.copy(seq = 11, tasks = listOf(task.copy(attempt = 42)))
+        "one more" -> base.copy(seq = 11, tasks = listOf(task, task.copy(task = 4)))
+        "one less" -> base.copy(seq = 11, tasks = emptyList())
+        "notice" -> base.copy(seq = 11, noticeS = 30.0)
+        else -> error(what)
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("nothing,true", "token,true", "session,false", "address,false", "stage,false", "ended,false", "attempt,false", "one more,false", "one less,false", "notice,false")
+    fun `only a report that says the same is marked, and the leader reads it as it is`(what: String, marked: Boolean) {
+        val bases = ReportBases()
+        bases.resolve("n0", sent(base, 1))
+        batcher.answered(1, 5, base)
+        val next = sent(changed(what), 2)
+        assertEquals(marked, next is UnchangedReport)
+        assertEquals(changed(what), bases.resolve("n0", next))
+    }
+
+    @Test
+    fun `nothing is marked before its base was answered, nor for another leader`() {
+        sent(base, 1)
+        assertEquals(true, sent(base.copy(seq = 11), 2) is WholeReport)
+        batcher.answered(2, 5, base.copy(seq = 11))
+        assertEquals(true, sent(base.copy(seq = 12), 3, Claim("n2", 8, 100.0)) is WholeReport)
+        assertEquals(true, sent(base.copy(seq = 13), 4) is UnchangedReport)
+    }
+
+    @Test
+    fun `a mark is read only against the very report that it names`() {
+        val bases = ReportBases()
+        val mark = UnchangedReport(9, "", base.machine, 1, 11, 5)
+        assertNull(bases.resolve("n0", mark), "never had it")
+        bases.resolve("n0", WholeReport(1, "", base))
+        assertEquals(11, bases.resolve("n0", mark)?.seq)
+        assertNull(bases.resolve("n2", mark), "another node's")
+        bases.resolve("n0", WholeReport(4, "", changed("ended")))
+        assertNull(bases.resolve("n0", mark), "replaced since")
+        bases.resolve("n0", WholeReport(1, "", base))
+        assertNull(bases.resolve("n0", mark), "a late copy replaces nothing")
+    }
+
+    @Test
+    fun `unchanged reports wait a little for others, changed ones do not, and given up ones are shed`() {
+        batcher.add(1, leader, "", base)
+        assertEquals(1, batcher.due(5) { true }.size)
+        batcher.answered(1, 5, base)
+        batcher.add(2, leader, "", base.copy(seq = 11))
+        assertEquals(0, batcher.due(5) { true }.size)
+        batcher.add(3, leader, "", base.copy(machine = "i-000002"))
+        assertEquals(listOf(3L), batcher.due(5) { it == 3L }.single().reports.map { it.id })
+        batcher.add(4, leader, "", base)
+        assertEquals(0, batcher.due(6) { true }.size, "another epoch's")
+    }
+
+    @Test
+    fun `many reports take several frames, each within its size`() {
+        val tasks = List(100) { task.copy(task = it) }
+        repeat(40) { batcher.add(it.toLong(), leader, "", base.copy(machine = "i-%06d".format(it), tasks = tasks)) }
+        val frames = batcher.due(5) { true }
+        assertEquals(40, frames.sumOf { it.reports.size })
+        frames.forEach { assertEquals(true, PeerCodec.write(it).size <= PeerCodec.MAX_FRAME) }
+        assertEquals(true, frames.size in 2..20, "${frames.size} frames")
+    }
+
+    private fun messages(): List<PeerMessage> = listOf(
+        ReportBatch("n0", 5, 77, listOf(WholeReport(1, "10.0.0.1", base), UnchangedReport(2, "", "i-000002", 1, 12, 6))),
+        AnswerBatch("n1", 5, listOf(BatchedAnswer(1, 200, byteArrayOf(1, 2)), BatchedAnswer(2, BatchedAnswer.RESEND, ByteArray(0)))),
+        PeerStatus(
+            "n1", 1, 5, true, 0, true, 0, 2, LinkReport(3, emptyMap(), emptyList(), 0, 0, emptyList(), null, null), WithdrawalNews(1, emptyList(), 0, 0),
+            SessionNews(700, SessionPlan(5, mapOf("a" to listOf(SessionShare("n0", 3), SessionShare("n2", 4))))),
+        ),
+    )
+
+    @Test
+    fun `frames are read as written, and not at all where they are cut short`() {
+        for (message in messages()) {
+            val bytes = PeerCodec.write(message)
+            assertEquals(message, PeerCodec.read(bytes))
+            if (message is PeerStatus) continue
+            for (size in 1 until bytes.size) assertThrows(BadMessage::class.java, { PeerCodec.read(bytes.copyOf(size)) }, "$size of ${bytes.size} bytes")
+        }
+    }
+}
