Placing: machines are looked at once for all tasks of a job, not once for each

Change: CandidateQueue keeps a job's candidates by score within a pass; the choices are those of Room.best (test, random cases). A node that is not heard stays in the plan of sessions for half a lease, so that a stall of the leader moves nobody.

--- a/src/main/kotlin/plankwall/core/placing/Placer.kt
+++ b/src/main/kotlin/plankwall/core/placing/Placer.kt
@@ -108,10 +108,12 @@
         var held = 0
         // One that fails wherever it runs is tried with one task at a time.
         val most = if (job.doubtful) 1 else minOf(budget, backlog.most(job))
+        var queue: CandidateQueue? = null
         while (placed < most && job.waiting.size > held) {
             if (!book.withinLimit(job.team, job.spec.need)) break
             val zones = ZoneRule(job)
-            val m = room.best(job, roomy, zones)
+            if (queue == null && minOf(most, job.waiting.size) > 1) queue = CandidateQueue(room, job, roomy, zones)
+            val m = if (queue == null) room.best(job, roomy, zones) else queue.best(zones)
             if (m == null) {
                 // Room only shrinks within a pass: what holds for this job holds for all that ask for the same.
                 if (!zones.binding && job.failedOn.isEmpty()) full.add(job.fit)
@@ -122,6 +124,7 @@
                 continue
             }
             book.place(job, job.waiting.first(), m, book.newAttempt())
+            queue?.placed()
             placed++
         }
         return placed
--- a/src/main/kotlin/plankwall/core/placing/Room.kt
+++ b/src/main/kotlin/plankwall/core/placing/Room.kt
@@ -55,11 +55,15 @@
     private fun wouldStayFor(job: Job, m: Machine): Boolean =
         job.spec.spot && m.group?.spot == false && (m.surplus || (m.lastingShare == 0.0 && !job.overlooked))
 
+    /** Whether a task of [job] may go to [m] and has room there. */
+    fun admits(job: Job, m: Machine, zones: ZoneRule): Boolean =
+        job.spec.need.fitsIn(m.free) && suits(job, m, zones) && job.spec.need.fitsIn(openTo(job, m))
+
     fun best(job: Job, candidates: List<Machine>, zones: ZoneRule): Machine? {
         var found: Machine? = null
         var lowest = Double.MAX_VALUE
         for (m in candidates) {
-            if (!job.spec.need.fitsIn(m.free) || !suits(job, m, zones) || !job.spec.need.fitsIn(openTo(job, m))) continue
+            if (!admits(job, m, zones)) continue
             val score = score(job, m)
             if (score < lowest) {
                 lowest = score
--- a/src/main/kotlin/plankwall/core/sessions/SessionPlanner.kt
+++ b/src/main/kotlin/plankwall/core/sessions/SessionPlanner.kt
@@ -30,11 +30,17 @@
     private val enabled = ctx.tuning.spreadSessionsAt > 0
     private val before = inherited?.takeIf { enabled }
     private var spread = before != null
-    private val freshSince = HashMap<String, Double>()
+    private val nodesSeen = HashMap<String, Seen>()
     private val homes = HashMap<String, String?>()
     private var madeFor = Basis(emptySet(), emptyMap(), false)
     private var nextLook = ctx.now
 
+    /** Another node, from when on it was fresh without a break, and when it was last. */
+    private class Seen(val since: Double) {
+        var last = since
+        var capacity = 0
+    }
+
     /** What a plan was worked out from. */
     private class Basis(val nodes: Set<String>, val demand: Map<String, Int>, val inherited: Boolean)
 
@@ -80,16 +86,23 @@
 
     private fun isInheriting(): Boolean = before != null && ctx.now < startedAt + ctx.settings.workers.leaseS
 
-    /** Other nodes that hear this one and are heard, serve sessions, and have done so for a while. */
+    /**
+     * Other nodes that hear this one and are heard, serve sessions, and have done so for a while. One that is not heard stays for half a
+     * lease: its workers find another way by themselves, and where this node itself stood still for a moment, all would be moved for nothing.
+     */
     private fun nodesIn(): List<SessionNode> {
-        val fresh = picture.fresh().filter { (it.sessions?.capacity ?: 0) > 0 }
-        val names = fresh.map { it.node }.toSet()
-        freshSince.keys.retainAll(names)
-        names.forEach { freshSince.putIfAbsent(it, ctx.now) }
+        for (status in picture.fresh()) {
+            val capacity = status.sessions?.capacity ?: 0
+            if (capacity <= 0) continue
+            val seen = nodesSeen.getOrPut(status.node) { Seen(ctx.now) }
+            seen.last = ctx.now
+            seen.capacity = capacity
+        }
+        nodesSeen.values.removeIf { ctx.now - it.last > ctx.settings.workers.leaseS * LEAVE_LEASES }
         val waitS = if (ctx.now < startedAt + JOIN_S) 0.0 else JOIN_S
-        return fresh.filter { ctx.now - freshSince.getValue(it.node) >= waitS }
-            .map { status -> SessionNode(status.node, ctx.settings.peers.first { it.node == status.node }.zone, checkNotNull(status.sessions).capacity) }
-            .sortedBy { it.name }
+        return ctx.settings.peers.mapNotNull { peer ->
+            nodesSeen[peer.node]?.takeIf { ctx.now - it.since >= waitS }?.let { SessionNode(peer.node, peer.zone, it.capacity) }
+        }.sortedBy { it.name }
     }
 
     private fun demand(): Map<String, Int> {
@@ -148,6 +161,7 @@
 
         /** A node that comes and goes with a bad link gets no sessions. */
         const val JOIN_S = 5.0
+        const val LEAVE_LEASES = 0.5
 
         /** How far a zone's workers may drift from what the plan was made for, as a part and as a number. */
         const val DEMAND_DRIFT = 0.2
--- /dev/null
+++ b/src/test/kotlin/plankwall/CandidateQueueTest.kt
@@ -0,0 +1,44 @@
+package plankwall
+
+import org.junit.jupiter.api.Assertions.assertSame
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import plankwall.core.jobs.ZoneRule
+import plankwall.core.placing.CandidateQueue
+import plankwall.core.placing.Room
+import plankwall.lab.World
+import plankwall.model.GroupKey
+import plankwall.model.Shape
+import plankwall.sim.CoreParts
+import java.util.Random
+
+class CandidateQueueTest {
+    @ParameterizedTest(name = "spread {0}, one zone {1}, seed {2}")
+    @CsvSource("false,false,1", "true,false,2", "false,true,3", "false,false,4", "true,false,5", "false,true,6")
+    fun `each task goes where a look at all machines would send it`(spread: Boolean, oneZone: Boolean, seed: Long) {
+        val random = Random(seed)
+        val core = CoreParts()
+        val machines = List(40) { n ->
+            core.fleet.machine("i-%06d".format(n)).also { m ->
+                core.fleet.describe(m, GroupKey("box", if (random.nextInt(3) == 0) "a" else "b", false), "addr:$n")
+                if (random.nextInt(4) == 0) m.noteImage(plankwall.model.ImageIx(1), 2.0, core.ctx.now)
+            }
+        }
+        val running = core.learn(World.job(1, tasks = 60))
+        repeat(60) { core.book.place(running, it, machines[random.nextInt(machines.size)].takeIf { m -> running.spec.need.fitsIn(m.free) } ?: machines.first { m -> running.spec.need.fitsIn(m.free) }, it + 1L) }
+        val job = core.learn(World.job(2, if (spread) Shape.SERVICE else Shape.ARRAY, tasks = 80, spread = spread, oneZone = oneZone))
+        val room = Room(core.ctx, core.fleet).apply { beginPass() }
+        val queue = CandidateQueue(room, job, machines, ZoneRule(job))
+        var placed = 0
+        while (job.waiting.isNotEmpty()) {
+            val zones = ZoneRule(job)
+            val expected = room.best(job, machines, zones)
+            assertSame(expected, queue.best(zones), "task $placed")
+            core.book.place(job, job.waiting.first(), expected ?: break, 1_000L + placed)
+            queue.placed()
+            placed++
+        }
+        assertTrue(placed > 10, "$placed placed")
+    }
+}
