--- /dev/null
+++ b/src/test/kotlin/plankwall/scale/ServiceCodecsTest.kt
@@ -0,0 +1,129 @@
+package plankwall.scale
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import plankwall.lab.SimClock
+import plankwall.lab.SimState
+import plankwall.lab.World
+import plankwall.lab.scale.ScalePlan
+import plankwall.lab.scale.ScaleSite
+import plankwall.model.GroupKey
+import plankwall.model.StateLimits
+import plankwall.wire.BadMessage
+import plankwall.wire.CloudCodec
+import plankwall.wire.CloudOp
+import plankwall.wire.CloudResult
+import plankwall.wire.CloudServiceCodec
+import plankwall.wire.ExitCause
+import plankwall.wire.Guard
+import plankwall.wire.JobCodec
+import plankwall.wire.JobRecord
+import plankwall.wire.Keys
+import plankwall.wire.LeaderRecord
+import plankwall.wire.ListedMachine
+import plankwall.wire.ListedState
+import plankwall.wire.Report
+import plankwall.wire.StateCodec
+import plankwall.wire.StateEvent
+import plankwall.wire.StateItem
+import plankwall.wire.StateOp
+import plankwall.wire.StateResult
+import plankwall.wire.StateServiceCodec
+import plankwall.wire.TaskReport
+import plankwall.wire.TaskStage
+import plankwall.wire.WorkerCodec
+import plankwall.wire.Write
+
+/** The stand-ins' side of the protocols is read by the controllers' own, and the other way round. */
+class ServiceCodecsTest {
+    private val record = JobRecord(World.job(7), 1_000, 0, 100)
+    private val leader = LeaderRecord("n1", 5)
+
+    @Test
+    fun `the state service understands transactions and is understood`() {
+        val txn = StateOp.Txn(
+            listOf(Guard(Keys.LEADER, 3)),
+            listOf(Write.Put(Keys.job(record.spec.id), record), Write.Put(Keys.LEADER, leader, 9), Write.Remove("x/1"))
+        )
+        assertEquals(txn, StateServiceCodec.readTxn(StateCodec.txn(txn)))
+        assertEquals(StateOp.Grant(2_500), StateServiceCodec.readGrant(StateCodec.grant(2_500)))
+        val item = StateItem(Keys.LEADER, leader, 4)
+        assertEquals(StateResult.Item(item), StateCodec.item(StateServiceCodec.write(StateResult.Item(item))))
+        val items = StateResult.Items(listOf(item), true, 8)
+        assertEquals(items, StateCodec.items(StateServiceCodec.write(items)))
+        val news = StateResult.News(
+            listOf(StateEvent(Keys.job(record.spec.id), record, 5), StateEvent("j/2", null, 6)),
+            6
+        )
+        assertEquals(news, StateCodec.news(StateServiceCodec.write(news)))
+        assertEquals(StateResult.Committed(7), StateCodec.committed(StateServiceCodec.write(StateResult.Committed(7))))
+        assertEquals(
+            StateResult.Conflict(setOf("a")),
+            StateCodec.conflict(StateServiceCodec.write(StateResult.Conflict(setOf("a"))))
+        )
+        assertEquals(StateResult.Granted(3), StateCodec.granted(StateServiceCodec.write(StateResult.Granted(3))))
+        assertThrows(
+            BadMessage::class.java
+        ) { StateServiceCodec.readTxn("{\"writes\":[{\"set\":\"unknown/1\",\"data\":{}}]}".encodeToByteArray()) }
+    }
+
+    @Test
+    fun `the cloud understands requests and is understood`() {
+        val rent = CloudOp.Rent("r-1", GroupKey("box", "a", true), 12)
+        assertEquals(rent, CloudServiceCodec.readRent(CloudCodec.rent(rent)))
+        val delete = CloudOp.Delete(listOf("i-1", "i-2"))
+        assertEquals(delete, CloudServiceCodec.readDelete(CloudCodec.delete(delete)))
+        val catalog = ScaleSite.catalog(ScalePlan())
+        assertEquals(catalog, CloudCodec.catalog(CloudServiceCodec.catalog(catalog)))
+        val listed = CloudResult.Listed(
+            ListedState.entries.map { ListedMachine("i-$it", "127.0.0.1:9", GroupKey("box", "a", false), it, 1.5) },
+            true
+        )
+        assertEquals(listed, CloudCodec.listed(CloudServiceCodec.listed(listed)))
+        assertEquals(CloudResult.Rented(listOf("i-3")), CloudCodec.rented(CloudServiceCodec.rented(listOf("i-3"))))
+        assertThrows(BadMessage::class.java) { CloudServiceCodec.readRent(CloudCodec.rent(rent.copy(count = 51))) }
+    }
+
+    @Test
+    fun `reports and submissions are read as they were sent`() {
+        val tasks = TaskStage.entries.mapIndexed { n, stage ->
+            TaskReport(
+                "job-000001",
+                n,
+                9,
+                stage,
+                if (stage == TaskStage.EXITED) ExitCause.STOPPED else null,
+                n % 2 == 0
+            )
+        }
+        val report = Report("i-000001", "127.0.0.1:9", "box", "a", true, 2, 11, 41, 30.0, tasks)
+        assertEquals(report, WorkerCodec.readReport(WorkerCodec.writeReport(report)))
+        assertEquals(record.spec, JobCodec.read(JobCodec.description(record.spec)))
+    }
+
+    @Test
+    fun `beyond its rates the state service refuses, and what it has forgotten is too old`() {
+        val clock = SimClock()
+        val state = SimState(clock, StateLimits(4.0, 2.0, 8.0, 32)).apply {
+            refusesBeyondRates = true
+            historyLimit = 3
+        }
+        fun put(): StateResult? {
+            var result: StateResult? = null
+            state.run(StateOp.Txn(emptyList(), listOf(Write.Put(Keys.LEADER, leader)))) { result = it }
+            return result
+        }
+        assertEquals(listOf(true, true, false), List(3) { put() is StateResult.Committed })
+        for (second in 1..10) {
+            clock.runUntil(second.toDouble())
+            put()
+        }
+        clock.runUntil(12.0)
+        var seen: StateResult? = null
+        state.run(StateOp.Changes("", 1)) { seen = it }
+        assertEquals(StateResult.TooOld, seen)
+        state.run(StateOp.Changes("", state.version(Keys.LEADER) - 1)) { seen = it }
+        assertEquals(1, (seen as StateResult.News).events.size)
+    }
+}
