--- a/src/main/kotlin/plankwall/lab/scale/PeerProxy.kt
+++ b/src/main/kotlin/plankwall/lab/scale/PeerProxy.kt
@@ -12,7 +12,7 @@
 import kotlinx.coroutines.launch
 import plankwall.model.Address
 
-/** The link from one controller to another: counts what goes over it, and loses it while [cut]. */
+/** The link from one controller to another: counts what goes over it, and holds it back while [cut]. */
 class PeerProxy(private val site: ScaleSite, private val to: Address, private val sender: NodeMeter) {
     @Volatile
     var cut = false
--- a/src/main/kotlin/plankwall/lab/scale/ScalePlan.kt
+++ b/src/main/kotlin/plankwall/lab/scale/ScalePlan.kt
@@ -18,7 +18,7 @@
     /** Workers of a zone or region get neither answers nor commands. */
     ANSWERS_LOST,
 
-    /** Frames between the controllers of a zone or region and all others are lost. */
+    /** Frames between the controllers of a zone or region and all others are held back, and come in order when it is over. */
     PEERS_APART,
 }
 
