Scale run: counters that nothing raised or read are gone; a batched report's size is worked out in one place

Cause: last read of the change: commands_per_s was always 0, two counters were never read, ReportBatcher had its rough size twice. Change: removed, and sizeOf. Behaviour is as it was.

--- a/src/main/kotlin/plankwall/core/sessions/ReportBatcher.kt
+++ b/src/main/kotlin/plankwall/core/sessions/ReportBatcher.kt
@@ -41,12 +41,11 @@
         val base = if (whole) null else bases[report.machine]?.takeIf { it.epoch == leader.epoch && saysTheSame(it.report, report) }
         if (base == null) {
             batch.reports.add(WholeReport(id, address, report))
-            batch.bytes += WHOLE_BYTES + report.tasks.size * TASK_BYTES
             batch.changed = true
         } else {
             batch.reports.add(UnchangedReport(id, address, report.machine, base.id, report.seq, report.token))
-            batch.bytes += MARK_BYTES
         }
+        batch.bytes += sizeOf(batch.reports.last())
         return base == null
     }
 
@@ -76,11 +75,14 @@
         return frames(reports).map { ReportBatch(ctx.settings.node, batch.leader.epoch, batch.echo, it) }
     }
 
+    private fun sizeOf(sent: BatchedReport): Int =
+        if (sent is WholeReport) WHOLE_BYTES + sent.report.tasks.size * TASK_BYTES else MARK_BYTES
+
     private fun frames(reports: List<BatchedReport>): List<List<BatchedReport>> {
         val frames = ArrayList<ArrayList<BatchedReport>>()
         var bytes = MAX_BYTES
         for (r in reports) {
-            val size = if (r is WholeReport) WHOLE_BYTES + r.report.tasks.size * TASK_BYTES else MARK_BYTES
+            val size = sizeOf(r)
             if (bytes + size > MAX_BYTES) {
                 frames.add(ArrayList())
                 bytes = 0
--- a/src/main/kotlin/plankwall/lab/scale/Meters.kt
+++ b/src/main/kotlin/plankwall/lab/scale/Meters.kt
@@ -12,7 +12,6 @@
     var stateRefused = 0L
     var puts = 0L
     var cloudRequests = 0L
-    var commands = 0L
     var frameBytes = 0L
 
     fun copyOf() = NodeMeter().also {
@@ -24,7 +23,6 @@
         it.stateRefused = stateRefused
         it.puts = puts
         it.cloudRequests = cloudRequests
-        it.commands = commands
         it.frameBytes = frameBytes
     }
 }
@@ -57,8 +55,6 @@
     var reportsWithin1S = 0L
     var reportsFailed = 0L
     var leasesExpired = 0L
-    var tasksKilled = 0L
-    var completed = 0L
     var starts = 0L
     private val startsBySecond = HashMap<Long, Int>()
 
--- a/src/main/kotlin/plankwall/lab/scale/Sampler.kt
+++ b/src/main/kotlin/plankwall/lab/scale/Sampler.kt
@@ -92,7 +92,7 @@
         return NodeFigures(
             controllers[i].name, lastLeader == i, node.cpuS / seconds, node.busiest, node.residentMb, node.sockets,
             rate { it.reports }, rate { it.polls }, rate { it.submissions }, rate { it.stateRequests }, rate { it.stateRefused }, rate { it.puts },
-            rate { it.commands }, rate { it.frameBytes } / 1024,
+            rate { it.frameBytes } / 1024,
         )
     }
 
--- a/src/main/kotlin/plankwall/lab/scale/ScaleReport.kt
+++ b/src/main/kotlin/plankwall/lab/scale/ScaleReport.kt
@@ -18,7 +18,6 @@
     val stateRequests: Double,
     val stateRefused: Double,
     val puts: Double,
-    val commands: Double,
     val frameKb: Double,
 )
 
@@ -104,7 +103,7 @@
         row.put("node", n.node).put("leads", n.leads).put("cpu_mean", rounded(n.cpuMean)).put("cpu_busiest_second", rounded(n.cpuBusiestSecond))
         row.put("resident_mb", rounded(n.residentMb)).put("sockets", n.sockets).put("reports_per_s", rounded(n.reports)).put("polls_per_s", rounded(n.polls))
         row.put("submissions_per_s", rounded(n.submissions)).put("state_requests_per_s", rounded(n.stateRequests))
-        row.put("state_refused_per_s", rounded(n.stateRefused)).put("puts_per_s", rounded(n.puts)).put("commands_per_s", rounded(n.commands))
+        row.put("state_refused_per_s", rounded(n.stateRefused)).put("puts_per_s", rounded(n.puts))
         row.put("frame_kb_per_s", rounded(n.frameKb))
     }
 
--- a/src/main/kotlin/plankwall/lab/scale/ScaleSite.kt
+++ b/src/main/kotlin/plankwall/lab/scale/ScaleSite.kt
@@ -97,13 +97,10 @@
         onTaskStarted(id, task)
     }
 
-    override fun onCompleted(id: String) {
-        meters.completed++
-    }
+    override fun onCompleted(id: String) = Unit
 
     override fun onLeaseExpired(worker: SimWorker, tasks: Int) {
         meters.leasesExpired++
-        meters.tasksKilled += tasks
     }
 
     /** The controller that holds the leader's key, or -1. */
