Store amounts in a form that every build reads back

What callers saw: one user submitted a job whose estimate had sixty decimals and got 201. From then on every controller answered every poll of every job with 503, jobs submitted later never started, the job could not be cancelled, and after a restart no leader finished loading the state. Cause: a reader refuses numbers of more than 60 decimals (and 18 digits before the point). An accepted amount was kept as a Double and written as that: 1E-60 becomes 1.0E-60, which has 61 decimals. The reader then refuses the record and, with it, the whole answer of the state service that holds it. Change: wire/Amounts keeps an amount other than 0 within 1E-9 and 1E9; both ends are written in a form that this build and earlier ones read. A tiny amount does not become 0, which means that a job saves no checkpoint. A reader takes any number of up to 400 digits, so what an earlier build stored is read again. CPUs, GPUs and memory are written exactly, and stay below the sizes that overflow. What was accepted before is accepted now, so repeated submissions keep their answers.

--- a/src/main/kotlin/plankwall/simulation/ControllerEffects.kt
+++ b/src/main/kotlin/plankwall/simulation/ControllerEffects.kt
@@ -144,7 +144,7 @@
             state.run(op) { result ->
                 delayWhileWatchBlocked(op) {
                     val isLost = op !is StateOp.Watch && random.nextDouble() < faults.answerLoss
-                    val receivedResult = if (isLost) StateResult.Unknown else result
+                    val receivedResult = if (isLost) StateResult.Unknown else StoreAnswers.asReceived(result)
                     network.carry("state", name, onRefused = { answerOnce(StateResult.Unknown) }) {
                         answerOnce(receivedResult)
                     }
--- a/src/main/kotlin/plankwall/wire/CloudCodec.kt
+++ b/src/main/kotlin/plankwall/wire/CloudCodec.kt
@@ -45,14 +45,14 @@
         forEachField { name ->
             when (name) {
                 "name" -> typeName = readString(name)
-                Fields.CPUS -> capacity = capacity.copy(cpus = Resources.capacity(readDecimal(name)))
-                Fields.GPUS -> capacity = capacity.copy(gpus = Resources.capacity(readDecimal(name)))
-                Fields.MEMORY_GB -> capacity = capacity.copy(memory = Resources.capacity(readDecimal(name)))
-                "cache_gb" -> cacheGb = readDouble(name)
-                Fields.FETCH_GB_PER_S -> fetchGbPerS = readDouble(name)
-                Fields.PRICE -> price = readDouble(name)
-                Fields.SPOT_PRICE -> spotPrice = readNullableDouble(name) ?: 0.0
-                Fields.BOOT_S -> bootS = readDouble(name)
+                Fields.CPUS -> capacity = capacity.copy(cpus = Amounts.toCapacity(readDecimal(name)))
+                Fields.GPUS -> capacity = capacity.copy(gpus = Amounts.toCapacity(readDecimal(name)))
+                Fields.MEMORY_GB -> capacity = capacity.copy(memory = Amounts.toCapacity(readDecimal(name)))
+                "cache_gb" -> cacheGb = readAmount(name)
+                Fields.FETCH_GB_PER_S -> fetchGbPerS = readAmount(name)
+                Fields.PRICE -> price = readAmount(name)
+                Fields.SPOT_PRICE -> spotPrice = readNullableAmount(name) ?: 0.0
+                Fields.BOOT_S -> bootS = readAmount(name)
                 Fields.ZONES -> forEachElement { zones.add(readString(name)) }
             }
         }
@@ -81,9 +81,7 @@
 
     private fun JsonGenerator.writeMachineType(type: MachineType) = writeJsonObject {
         writeStringField("name", type.name)
-        writeNumberField(Fields.CPUS, type.capacity.cpus / 1000.0)
-        writeNumberField(Fields.GPUS, type.capacity.gpus / 1000.0)
-        writeNumberField(Fields.MEMORY_GB, type.capacity.memory / 1000.0)
+        writeResources(type.capacity)
         writeNumberField("cache_gb", type.cacheGb)
         writeNumberField(Fields.FETCH_GB_PER_S, type.fetchGbPerS)
         writeNumberField(Fields.PRICE, type.price)
@@ -148,7 +146,7 @@
                     "failed" -> ListedState.FAILED
                     else -> ListedState.BOOTING
                 }
-                Fields.AGE_S -> ageS = readDouble(name)
+                Fields.AGE_S -> ageS = readAmount(name)
             }
         }
         if (id.isEmpty()) throw MalformedMessageException("list", "machine without a name")
--- a/src/main/kotlin/plankwall/wire/JobCodec.kt
+++ b/src/main/kotlin/plankwall/wire/JobCodec.kt
@@ -62,9 +62,7 @@
         writeStringField("shape", JobWords.word(spec.shape))
         writeStringField(Fields.PRIORITY, JobWords.word(spec.priority))
         writeNumberField(Fields.TASKS, spec.tasks)
-        writeNumberField(Fields.CPUS, spec.need.cpus / 1000.0)
-        writeNumberField(Fields.GPUS, spec.need.gpus / 1000.0)
-        writeNumberField(Fields.MEMORY_GB, spec.need.memory / 1000.0)
+        writeResources(spec.need)
         writeStringField(Fields.IMAGE, spec.image)
         writeNumberField(Fields.IMAGE_GB, spec.imageGb)
         if (spec.types != null) writeJsonArray(Fields.MACHINE_TYPES) { spec.types.forEach { writeString(it) } }
--- a/src/main/kotlin/plankwall/wire/JobSpecReader.kt
+++ b/src/main/kotlin/plankwall/wire/JobSpecReader.kt
@@ -55,21 +55,21 @@
             "shape" -> shape = JobWords.shape(name, readString(name))
             Fields.PRIORITY -> priority = JobWords.priority(name, readString(name))
             Fields.TASKS -> tasks = readWholeNumber(name)
-            Fields.CPUS -> cpus = Resources.need(readAmount(name))
-            Fields.GPUS -> gpus = Resources.need(readAmount(name))
-            Fields.MEMORY_GB -> memory = Resources.need(readAmount(name))
+            Fields.CPUS -> cpus = readNeed(name)
+            Fields.GPUS -> gpus = readNeed(name)
+            Fields.MEMORY_GB -> memory = readNeed(name)
             Fields.IMAGE -> image = readBoundedName(name)
-            Fields.IMAGE_GB -> imageGb = readAmount(name).toDouble()
+            Fields.IMAGE_GB -> imageGb = readLimitedAmount(name)
             Fields.MACHINE_TYPES -> types = readNames(name)
             Fields.ZONE -> zone = readNullableString(name)
             Fields.ONE_ZONE -> oneZone = readOptionalFlag(name)
             Fields.SPREAD -> spread = readOptionalFlag(name)
             Fields.SPOT -> spot = readOptionalFlag(name)
-            Fields.ESTIMATE_S -> estimateS = readAmount(name).toDouble()
-            Fields.CHECKPOINT_S -> checkpointS = readAmount(name).toDouble()
-            Fields.SAVE_S -> saveS = readAmount(name).toDouble()
+            Fields.ESTIMATE_S -> estimateS = readLimitedAmount(name)
+            Fields.CHECKPOINT_S -> checkpointS = readLimitedAmount(name)
+            Fields.SAVE_S -> saveS = readLimitedAmount(name)
             Fields.DEPENDENCIES -> dependencies = readJobIds(name)
-            Fields.DEADLINE_S -> deadlineS = if (isNull) null else readAmount(name).toDouble()
+            Fields.DEADLINE_S -> deadlineS = if (isNull) null else readLimitedAmount(name)
         }
     }
 
@@ -122,9 +122,13 @@
         return value
     }
 
-    private fun JsonParser.readAmount(field: String): BigDecimal {
+    private fun JsonParser.readNeed(field: String): Long = Resources.need(readLimitedDecimal(field))
+
+    private fun JsonParser.readLimitedAmount(field: String): Double = Amounts.toDouble(readLimitedDecimal(field))
+
+    private fun JsonParser.readLimitedDecimal(field: String): BigDecimal {
         val value = readDecimal(field)
-        if (value.signum() < 0 || value > MAX_AMOUNT) throw MalformedMessageException(field, "out of range")
+        if (value.signum() < 0 || value > Amounts.LARGEST) throw MalformedMessageException(field, "out of range")
         return value
     }
 
@@ -155,6 +159,5 @@
         const val MAX_TASKS = 100_000L
         const val MAX_NAME_LENGTH = 200
         const val NOT_A_JOB_ID = "not of the form job-000412"
-        val MAX_AMOUNT = BigDecimal(1_000_000_000L)
     }
 }
--- a/src/main/kotlin/plankwall/wire/Json.kt
+++ b/src/main/kotlin/plankwall/wire/Json.kt
@@ -25,8 +25,12 @@
 private const val MAX_DEPTH = 40
 private const val MAX_NUMBER_LENGTH = 100
 private const val MAX_STRING_LENGTH = 16 shl 20
-private const val MAX_INTEGER_DIGITS = 18
-private const val MAX_DECIMALS = 60
+
+/**
+ * The maximum number of digits of a number before and behind its decimal point. Every Double has fewer, so each number
+ * that any build has written as a Double can be read. The limit bounds what an exponent can cost.
+ */
+private const val MAX_DIGITS = 400
 
 /**
  * Parses [bytes], which must hold exactly one JSON value, with [read]; the parser stands on the value's first token.
@@ -123,19 +127,11 @@
     }
 }
 
-/** Returns the current value, which must be a number within the limits on digits. */
+/** Returns the current value, which must be a number of at most [MAX_DIGITS] digits on each side of its point. */
 internal fun JsonParser.readDecimal(name: String): BigDecimal {
     if (currentToken()?.isNumeric != true) throw MalformedMessageException(name, "not a number")
     val value = decimalValue
-    if (value.precision() - value.scale() > MAX_INTEGER_DIGITS || value.scale() > MAX_DECIMALS) {
-        throw MalformedMessageException(name, "out of range")
-    }
+    val integerDigits = value.precision().toLong() - value.scale()
+    if (integerDigits > MAX_DIGITS || value.scale() > MAX_DIGITS) throw MalformedMessageException(name, "out of range")
     return value
 }
-
-/** Returns the current value, which must be a number, as a Double. */
-internal fun JsonParser.readDouble(name: String): Double = readDecimal(name).toDouble()
-
-/** Returns the current value, which must be a number or null. */
-internal fun JsonParser.readNullableDouble(name: String): Double? =
-    if (currentToken() == JsonToken.VALUE_NULL) null else readDouble(name)
--- a/src/main/kotlin/plankwall/wire/WorkerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/WorkerCodec.kt
@@ -51,7 +51,7 @@
                 Fields.AGENT_EPOCH -> session = readWholeNumber(name)
                 Fields.SEQUENCE_NUMBER -> seq = readWholeNumber(name)
                 Fields.FENCING_TOKEN -> token = readWholeNumber(name)
-                Fields.PREEMPTION_NOTICE_S -> noticeS = readNullableDouble(name)
+                Fields.PREEMPTION_NOTICE_S -> noticeS = readNullableAmount(name)
                 Fields.TASKS -> forEachElement { tasks.add(readTask()) }
             }
         }
