Refuse heartbeats and machine lists with names that frames can't carry

What callers would see: a worker whose heartbeat named no zone was accepted, and the leader's status frames then held an empty zone name, which no peer can read: it drops the frame and the connection, so it takes the leader for silent, relays nothing to it and confirms no cancellation. A name of over 200 bytes, an address of over 1,000 or a lone surrogate in a name did the same to a relayed heartbeat, or came back as another name. Cause: heartbeats and the cloud's answers were accepted with any names, but frames have names of 1 to 200 bytes. Evidence: on the build before, the heartbeat without a zone is accepted and the frame with its zone is refused ('name is empty or too long'); not seen in a deployment. Change: what is received is checked for the bounds of frames: a heartbeat gets 400, an answer of the cloud counts as malformed, as they did without a machine's name. The protocol has all these fields in every heartbeat and list. Result: CodecTest 'a heartbeat with a name that no frame can carry is refused': six of its seven cases failed before.

--- a/src/main/kotlin/plankwall/wire/CloudCodec.kt
+++ b/src/main/kotlin/plankwall/wire/CloudCodec.kt
@@ -10,14 +10,13 @@
 /** Codec of the requests to the cloud and of its answers. Functions that read throw [MalformedMessageException]. */
 object CloudCodec {
     /** Reads the answer with the machine types that the cloud offers. */
-    fun readCatalog(bytes: ByteArray): Catalog = parseJson(bytes) { readCatalog(it) }
-
-    private fun readCatalog(parser: JsonParser): Catalog {
+    fun readCatalog(bytes: ByteArray): Catalog = parseJson(bytes) { parser ->
         val types = ArrayList<MachineType>()
         parser.forEachField { name ->
             if (name == Fields.MACHINE_TYPES) forEachElement { types.add(readMachineType()) }
         }
-        return Catalog(types)
+        types.forEach { type -> type.zones.forEach { requireFrameName(Fields.ZONES, it) } }
+        Catalog(types)
     }
 
     /** Reads what [writeCatalog] writes, with the number of further keys. */
@@ -149,8 +148,8 @@
                 Fields.AGE_S -> ageS = readAmount(name)
             }
         }
-        if (id.isEmpty()) throw MalformedMessageException("list", "machine without a name")
-        return ListedMachine(id, address, GroupKey(type, zone, spot), state, ageS)
+        val group = GroupKey(type, requireFrameName(Fields.ZONE, zone), spot)
+        return ListedMachine(requireFrameName("id", id), address, group, state, ageS)
     }
 
     /** The lowest fetch rate that is taken over from a catalogue: a rate of 0 would make fetch times infinite. */
--- a/src/main/kotlin/plankwall/wire/FrameParts.kt
+++ b/src/main/kotlin/plankwall/wire/FrameParts.kt
@@ -1,10 +1,32 @@
 package plankwall.wire
 
+import com.google.common.base.Utf8
 import okio.Buffer
 
 private const val MAX_NAME_BYTES = 200
 private const val MAX_TEXT_BYTES = 1_000
 
+/**
+ * Returns [name], the value of [field], if frames can carry it as a name: [writeName] and [readName] then give an equal
+ * one. Throws [MalformedMessageException] otherwise. What is received of names that frames carry on is checked by this;
+ * a peer that can't read a frame drops all of it.
+ */
+internal fun requireFrameName(field: String, name: String): String {
+    if (name.isEmpty()) throw MalformedMessageException(field, "missing")
+    return requireFrameText(field, name, MAX_NAME_BYTES)
+}
+
+/** Returns [text] like [requireFrameName], if frames can carry it as a text, which may be empty. */
+internal fun requireFrameText(field: String, text: String, maxBytes: Int = MAX_TEXT_BYTES): String {
+    val bytes = try {
+        Utf8.encodedLength(text)
+    } catch (exception: IllegalArgumentException) {
+        throw MalformedMessageException(field, "not well-formed Unicode", exception)
+    }
+    if (bytes > maxBytes) throw MalformedMessageException(field, "longer than $maxBytes bytes")
+    return text
+}
+
 /** Writes a name, which must have 1 to [MAX_NAME_BYTES] bytes for [readName] to accept it. */
 internal fun Buffer.writeName(name: String): Buffer = writeText(name)
 
--- a/src/main/kotlin/plankwall/wire/WorkerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/WorkerCodec.kt
@@ -27,8 +27,9 @@
     private val causeWords = causes.entries.associate { (word, cause) -> cause to word }
 
     /**
-     * Reads a heartbeat; throws [MalformedMessageException] if a required field is missing or a field has a wrong type.
-     * An unknown exit cause is read as null, and a checkpoint counts as saved only if the field is true.
+     * Reads a heartbeat; throws [MalformedMessageException] if a required field is missing, a field has a wrong type or
+     * a name is one that frames between controllers can't carry. An unknown exit cause is read as null, and a
+     * checkpoint counts as saved only if the field is true.
      */
     fun readHeartbeat(bytes: ByteArray): HeartbeatStatus = parseJson(bytes) { parser ->
         var machine = ""
@@ -55,10 +56,19 @@
                 Fields.TASKS -> forEachElement { tasks.add(readTask()) }
             }
         }
-        if (machine.isEmpty() || minOf(session, seq, token) < 0) {
-            throw MalformedMessageException("report", "a required field is missing")
-        }
-        HeartbeatStatus(machine, address, type, zone, spot, session, seq, token, noticeS, tasks)
+        if (minOf(session, seq, token) < 0) throw MalformedMessageException("report", "a required field is missing")
+        HeartbeatStatus(
+            machine = requireFrameName(Fields.MACHINE, machine),
+            address = requireFrameText("address", address),
+            type = requireFrameText(Fields.MACHINE_TYPE, type),
+            zone = requireFrameName(Fields.ZONE, zone),
+            spot = spot,
+            session = session,
+            seq = seq,
+            token = token,
+            noticeS = noticeS,
+            tasks = tasks,
+        )
     }
 
     private fun JsonParser.readTask(): TaskStatus {
@@ -83,7 +93,8 @@
         if (task == null || attempt < 0 || knownStage == null) {
             throw MalformedMessageException("report", "malformed task entry '$taskName'")
         }
-        return TaskStatus(taskName.substring(0, slash), task, attempt, knownStage, cause, saved)
+        val jobId = requireFrameName(Fields.TASK, taskName.substring(0, slash))
+        return TaskStatus(jobId, task, attempt, knownStage, cause, saved)
     }
 
     /** Writes a heartbeat as a worker sends it, for simulated workers. */
--- a/src/test/kotlin/plankwall/wire/CodecTest.kt
+++ b/src/test/kotlin/plankwall/wire/CodecTest.kt
@@ -186,6 +186,28 @@
         assertThrows(Exception::class.java) { WorkerCodec.readHeartbeat(body.encodeToByteArray()) }
     }
 
+    /** Guards against heartbeats with names that frames can't carry: peers drop a frame that holds such a name. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("no zone", "long zone", "long machine", "long address", "long job", "surrogate in type", "none")
+    fun `a heartbeat with a name that no frame can carry is refused`(case: String) {
+        val long = "x".repeat(1_001)
+        val sent = when (case) {
+            "no zone" -> heartbeat.copy(zone = "")
+            "long zone" -> heartbeat.copy(zone = long)
+            "long machine" -> heartbeat.copy(machine = long)
+            "long address" -> heartbeat.copy(address = long)
+            "long job" -> heartbeat.copy(tasks = listOf(heartbeat.tasks.first().copy(jobId = long)))
+            "surrogate in type" -> heartbeat.copy(type = "\uD800")
+            else -> heartbeat
+        }
+        val read = runCatching { WorkerCodec.readHeartbeat(WorkerCodec.writeHeartbeat(sent)) }
+        if (case == "none") {
+            assertEquals(heartbeat, read.getOrThrow())
+        } else {
+            assertTrue(read.exceptionOrNull() is MalformedMessageException, "$read")
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(doubles = [1.0, 2.0, 8.0, 16.0, 64.0])
     fun `a full page of tasks fits into a stored value`(valueKb: Double) {
