Split batches of heartbeats by their real sizes

What callers would see: with spread sessions, workers with long names got no answer through another node: their batch was longer than a frame may be and was not sent, with all heartbeats in it. Cause: the batch was split by sizes estimated for short names (200 bytes for a heartbeat, 60 for a task), while names of up to 200 bytes are accepted. Change: the names count with their length. Result: HeartbeatBatchTest 'heartbeats with the longest names ...' failed before (a frame beyond 64 KiB). Not seen in a deployment.

--- a/src/main/kotlin/plankwall/core/sessions/HeartbeatBatcher.kt
+++ b/src/main/kotlin/plankwall/core/sessions/HeartbeatBatcher.kt
@@ -1,5 +1,6 @@
 package plankwall.core.sessions
 
+import com.google.common.base.Utf8
 import plankwall.core.connectivity.LeadershipClaim
 import plankwall.core.connectivity.ReachabilityMatrix
 import plankwall.core.statemachine.Context
@@ -106,8 +107,20 @@
         return splitIntoFrames(awaited).map { HeartbeatBatch(ctx.settings.node, batch.leader.epoch, batch.echo, it) }
     }
 
-    private fun estimatedBytes(entry: BatchedHeartbeat): Int =
-        if (entry is FullHeartbeat) FULL_BYTES + entry.heartbeat.tasks.size * TASK_STATUS_BYTES else UNCHANGED_BYTES
+    /** Returns at least the bytes that [entry] takes in a frame, whatever its names. */
+    private fun estimatedBytes(entry: BatchedHeartbeat): Int {
+        val addressBytes = Utf8.encodedLength(entry.address)
+        return addressBytes + when (entry) {
+            is UnchangedHeartbeat -> FIXED_BYTES + Utf8.encodedLength(entry.machine)
+            is FullHeartbeat -> FIXED_BYTES + estimatedBytes(entry.heartbeat)
+        }
+    }
+
+    private fun estimatedBytes(heartbeat: HeartbeatStatus): Int {
+        val names = listOf(heartbeat.machine, heartbeat.address, heartbeat.type, heartbeat.zone)
+        return names.sumOf { Utf8.encodedLength(it) } +
+            heartbeat.tasks.sumOf { TASK_STATUS_BYTES + Utf8.encodedLength(it.jobId) }
+    }
 
     private fun splitIntoFrames(entries: List<BatchedHeartbeat>): List<List<BatchedHeartbeat>> {
         val frames = ArrayList<ArrayList<BatchedHeartbeat>>()
@@ -131,12 +144,11 @@
     }
 
     private companion object {
-        // The estimated sizes of a full heartbeat without tasks, a task in it, and a reference, rounded up.
-        const val FULL_BYTES = 200
-        const val TASK_STATUS_BYTES = 60
-        const val UNCHANGED_BYTES = 90
+        // The sizes of a heartbeat and of a task in it without their names, rounded up.
+        const val FIXED_BYTES = 80
+        const val TASK_STATUS_BYTES = 20
 
-        /** Below the size limit of a frame, with a margin for the error of the estimated sizes. */
+        /** Below the size limit of a frame, with a margin for what frames hold besides heartbeats. */
         const val MAX_FRAME_BYTES = 40_000
 
         /** The time that unchanged heartbeats wait for others to share a frame with, in seconds. */
--- a/src/test/kotlin/plankwall/core/sessions/HeartbeatBatchTest.kt
+++ b/src/test/kotlin/plankwall/core/sessions/HeartbeatBatchTest.kt
@@ -125,6 +125,18 @@
         assertEquals(true, frames.size in 2..20, "${frames.size} frames")
     }
 
+    /** Guards against a batch that is too long for a frame because of long names: none of its heartbeats was sent. */
+    @Test
+    fun `heartbeats with the longest names are split over frames that are within the maximum size`() {
+        val longestName = "x".repeat(200)
+        val tasks = List(100) { task.copy(jobId = longestName, task = it) }
+        val heartbeat = baseline.copy(machine = longestName, type = longestName, zone = longestName, tasks = tasks)
+        repeat(12) { batcher.add(it.toLong(), leader, longestName, heartbeat) }
+        val frames = batcher.takeDue(5) { true }
+        assertEquals(12, frames.sumOf { it.heartbeats.size })
+        frames.forEach { assertEquals(true, PeerCodec.write(it).size <= PeerCodec.MAX_FRAME) }
+    }
+
     private fun messages(): List<PeerMessage> = listOf(
         HeartbeatBatch(
             "n0",
