Bound runs of machine names as their reader does

What callers would see: the fleet's record with over 100,001 consecutive machine names can't be read, and the next leader does not finish loading. Cause: the writer of runs had no bound, the reader takes at most 100,000 names after the first. Change: the writer begins a new run there.

--- a/src/main/kotlin/plankwall/wire/NameRuns.kt
+++ b/src/main/kotlin/plankwall/wire/NameRuns.kt
@@ -12,7 +12,7 @@
         var last = ""
         var following = 0
         for (name in names) {
-            if (first != null && name == nextName(last)) {
+            if (first != null && following < MAX_FOLLOWING_NAMES && name == nextName(last)) {
                 following++
             } else {
                 if (first != null) onRun(first, following)
--- a/src/test/kotlin/plankwall/wire/CodecTest.kt
+++ b/src/test/kotlin/plankwall/wire/CodecTest.kt
@@ -208,6 +208,13 @@
         }
     }
 
+    /** Guards against a fleet record that can't be read because a run of consecutive names is too long. */
+    @Test
+    fun `a fleet record with more consecutive machine names than one run may hold is read back`() {
+        val record = FleetRecord(emptyList(), emptyList(), List(100_002) { "i-%06d".format(it) })
+        assertEquals(record, RecordJson.decode(Keys.FLEET, RecordJson.encode(record)))
+    }
+
     @ParameterizedTest
     @ValueSource(doubles = [1.0, 2.0, 8.0, 16.0, 64.0])
     fun `a full page of tasks fits into a stored value`(valueKb: Double) {
