Answer 400 for numbers with an exponent beyond all number types

Cause: the JSON parser throws a NumberFormatException for such an exponent, which the codecs did not turn into a malformed message. From the state service or the cloud it would have escaped the client, which promises results. Change: parseJson treats it as any number out of range. Result: CodecTest 'a malformed submission ...': the two cases with such exponents failed before.

--- a/src/main/kotlin/plankwall/wire/Json.kt
+++ b/src/main/kotlin/plankwall/wire/Json.kt
@@ -47,6 +47,9 @@
     throw MalformedMessageException("not JSON: ${exception.originalMessage}", exception)
 } catch (exception: ArithmeticException) {
     throw MalformedMessageException("number out of range", exception)
+} catch (exception: NumberFormatException) {
+    // An exponent that no number type can hold.
+    throw MalformedMessageException("number out of range", exception)
 }
 
 /** Returns the JSON that [write] generates, in UTF-8. */
--- a/src/test/kotlin/plankwall/wire/CodecTest.kt
+++ b/src/test/kotlin/plankwall/wire/CodecTest.kt
@@ -97,6 +97,7 @@
             "FIELD:id:7",
             "FIELD:shape:\"swarm\"", "FIELD:urgency:\"\"", "FIELD:together:1", "FIELD:builds:\"g8\"",
             "FIELD:builds:[1]",
+            "FIELD:cores:1e99999999999", "FIELD:pieces:1e-99999999999", "FIELD:guess_s:1E2147483647",
             "FIELD:guess_s:-0.1", "FIELD:mould:\"\"", "FIELD:due_s:\"soon\"",
         ],
     )
