Count characters beyond U+FFFF at their stored size in policy chunks

What callers would see: publishing a policy with many such characters (in comments, say) fails each time, as the state service refuses a chunk beyond its value size. Cause: each half of a surrogate pair counted 3 bytes; JSON holds it as an escape of 6. Change: surrogates count 6 bytes.

--- a/src/main/kotlin/plankwall/gateway/PolicyChunks.kt
+++ b/src/main/kotlin/plankwall/gateway/PolicyChunks.kt
@@ -32,7 +32,7 @@
     /** Returns the maximum number of bytes of [char] in a JSON string, where some characters are escaped. */
     private fun encodedBytes(char: Char): Int = when {
         char == '\n' || char == '"' || char == '\\' || char == '\r' || char == '\t' -> ESCAPED_BYTES
-        char < ' ' -> UNICODE_ESCAPE_BYTES
+        char < ' ' || char.isSurrogate() -> UNICODE_ESCAPE_BYTES
         char < '\u0080' -> 1
         else -> MAX_UTF8_BYTES
     }
