Copy stored values without rounding their numbers

Cause: the codec of the state service's answers copies each value before it knows the value's kind, and the copy went through Doubles. No field is known whose value that changes today: all decimals are Doubles or exact in one. A later field would be changed silently. Change: the copy keeps every digit. Result: the tests of the codecs pass as before; no test could fail before.

--- a/src/main/kotlin/plankwall/wire/StateCodec.kt
+++ b/src/main/kotlin/plankwall/wire/StateCodec.kt
@@ -87,7 +87,7 @@
 
     private fun JsonParser.copyValue(): ByteArray {
         val copy = ByteArrayOutputStream()
-        jsonFactory.createGenerator(copy).use { it.copyCurrentStructure(this) }
+        jsonFactory.createGenerator(copy).use { it.copyCurrentStructureExact(this) }
         return copy.toByteArray()
     }
 
