Release the tasks of a gang in one pass, whatever their number

What callers saw: a gang of 500 tasks was cancelled right after its acceptance; the cancellation was confirmed, and no job that was submitted later ever started, with machines idle and the leader alive. Cause: releasing a gang's task stops the others, and stopping one that was never commanded releases it, which stops the others again. The stack grows with the number of such tasks and overflows at some 330 on the run line's 256 KiB; the error ended the leader's watch of the jobs. Each loss of a task also looked at all others of its gang. Change: all tasks are marked in one pass, and those never commanded are released without stopping the others again. A count of the tasks being stopped ends the pass once all are. A page's placements are looked up by task.

--- a/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
@@ -119,7 +119,7 @@
             placement.machine.terminationNoticeAt == Machine.NEVER &&
             !job.cancelled &&
             job.placements.size == job.spec.tasks - job.doneCount &&
-            job.placements.values.none { it.stopping != null }
+            job.stoppingCount == 0
     }
 
     /** Returns the order to forget the exit of [placement], so that the same attempt can be started again. */
--- a/src/main/kotlin/plankwall/core/state/Job.kt
+++ b/src/main/kotlin/plankwall/core/state/Job.kt
@@ -137,6 +137,9 @@
     /** The placement of each task whose current attempt is not proven gone, by task number. */
     val placements = HashMap<Int, Placement>()
 
+    /** The number of [placements] that are being stopped. */
+    var stoppingCount = 0
+
     /** The pages and the parts of split pages, by their number in the stored key. */
     val pages = HashMap<Int, TaskPage>()
 
--- a/src/main/kotlin/plankwall/core/state/PageSnapshot.kt
+++ b/src/main/kotlin/plankwall/core/state/PageSnapshot.kt
@@ -48,7 +48,7 @@
          * parts.
          */
         fun of(job: Job, page: TaskPage, endTask: Int, partSize: Int): PageSnapshot {
-            val placements = job.placements.values.filter { it.task in page.firstTask until endTask }
+            val placements = (page.firstTask until endTask).mapNotNull { job.placements[it] }
             val done = job.done.get(0, endTask).also { it.clear(0, page.firstTask) }
             return PageSnapshot(job, page, placements, done, partSize)
         }
--- a/src/main/kotlin/plankwall/core/state/SchedulerState.kt
+++ b/src/main/kotlin/plankwall/core/state/SchedulerState.kt
@@ -129,7 +129,8 @@
     fun finishRestore() = jobs.values.forEach { job -> job.waiting.removeAll { it in job.placements || job.done[it] } }
 
     private fun attach(placement: Placement) {
-        placement.job.placements[placement.task] = placement
+        val replaced = placement.job.placements.put(placement.task, placement)
+        if (replaced?.stopping != null) placement.job.stoppingCount--
         placement.machine.add(placement)
         usedByTeam[placement.job.team.value] += placement.job.spec.need
     }
@@ -155,6 +156,11 @@
      * grace if its job is cancelled.
      */
     fun stop(placement: Placement, cause: StopCause, graceS: Double) {
+        markStopping(placement, cause, graceS)
+        if (!placement.isCommanded) release(placement, NEVER_COMMANDED)
+    }
+
+    private fun markStopping(placement: Placement, cause: StopCause, graceS: Double) {
         if (placement.stopping != null) {
             // A cancellation overrides the grace that was given before.
             if (cause == StopCause.CANCELLED) {
@@ -166,9 +172,9 @@
         placement.stopping = cause
         placement.graceS = graceS
         placement.stopSince = ctx.now
+        placement.job.stoppingCount++
         placement.machine.hasUnsentOrders = true
         log.info("task stopping task={} machine={} cause={}", placement.id, placement.machine.id, cause)
-        if (!placement.isCommanded) release(placement, "never commanded")
     }
 
     /**
@@ -182,26 +188,42 @@
         if (job.isGang) stopAll(job, cause, graceS) else stop(placement, cause, graceS)
     }
 
-    private fun stopAll(job: Job, cause: StopCause, graceS: Double) =
-        job.placements.values.toList().forEach { stop(it, cause, graceS) }
+    /**
+     * Stops all tasks of [job] in one pass: a task that was never commanded is released without stopping the others
+     * again. Each loss of a task of a gang calls this, so it returns at once if all are stopping already.
+     */
+    private fun stopAll(job: Job, cause: StopCause, graceS: Double) {
+        if (cause != StopCause.CANCELLED && job.stoppingCount == job.placements.size) return
+        val placements = job.placements.values.toList()
+        placements.forEach { markStopping(it, cause, graceS) }
+        placements.filterNot { it.isCommanded }.forEach { detach(it, NEVER_COMMANDED) }
+    }
 
     /**
      * Detaches [placement], whose task is proven gone or was never commanded; [proof] says why. Its capacity becomes
      * free, and the task waits again unless it is done. Does nothing if the placement was released before.
      */
     fun release(placement: Placement, proof: String) {
+        val job = placement.job
+        if (!detach(placement, proof)) return
+        // The whole attempt of a gang has failed as soon as one of its tasks is lost.
+        if (job.isGang && !job.done[placement.task]) stopAll(job, StopCause.GANG, 0.0)
+    }
+
+    /** Detaches [placement] as [release] does, without an effect on other tasks. Returns whether it was attached. */
+    private fun detach(placement: Placement, proof: String): Boolean {
         val job = placement.job
         val task = placement.task
-        if (job.placements[task] !== placement) return
+        if (job.placements[task] !== placement) return false
         job.placements.remove(task)
+        if (placement.stopping != null) job.stoppingCount--
         placement.machine.remove(placement)
         usedByTeam[job.team.value] -= job.spec.need
         job.pageOf(task).dirty = true
         if (!job.done[task]) job.waiting.addFirst(task)
         writer.markDirty(job)
         log.info("task released task={} machine={} proof=\"{}\"", placement.id, placement.machine.id, proof)
-        // The whole attempt of a gang has failed as soon as one of its tasks is lost.
-        if (job.isGang && !job.done[task]) stopAll(job, StopCause.GANG, 0.0)
+        return true
     }
 
     /** Records that [task] of [job] is permanently done. */
@@ -265,6 +287,9 @@
         /** The number of attempt numbers that are reserved for each epoch. */
         const val ATTEMPTS_PER_EPOCH = 10_000_000L
 
+        /** The proof that a placement's task is gone whose start was never sent. */
+        const val NEVER_COMMANDED = "never commanded"
+
         /** The time that a stopped task gets in addition to what its checkpoint should take. */
         const val SAVE_MARGIN_S = 1.0
     }
