Take an incomplete exit as proof only from a heartbeat that shows the token

What callers saw: a gang's task ran on two machines (ran_twice) after a leader crashed while the task waited for its gang a second time, and a copy of the heartbeat with its first exit reached the new leader late. Cause: any exit in a heartbeat newer than what the leader has seen counted as the end of the attempt. After incomplete the same attempt may have been started again, by an earlier leader or by the answer that is on its way. Change: an incomplete exit ends the attempt only if the heartbeat shows this leader's token.

--- a/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
@@ -33,7 +33,8 @@
         for (task in tasks) {
             val placement = placementOf(machine, task)
             if (placement != null) shownPlacements.add(placement)
-            applyStatus(machine, task, placement, isOvertaken)?.let { orders.add(it) }
+            val order = applyStatus(machine, task, placement, isOvertaken, provesLastExit = machine.hasSeenToken)
+            if (order != null) orders.add(order)
         }
         releaseAbsentTasks(machine, shownPlacements)
         return orders
@@ -41,10 +42,11 @@
 
     /**
      * Applies the [tasks] that [machine] shows in its answer to a direct command. Concludes nothing from the absence of
-     * others, and gives no orders.
+     * others, and gives no orders. The worker may not have received the answer to its last heartbeat yet, which may
+     * start an exited attempt again.
      */
     fun applyShownTasks(machine: Machine, tasks: List<TaskStatus>) = tasks.forEach { task ->
-        applyStatus(machine, task, placementOf(machine, task), isOvertaken = false)
+        applyStatus(machine, task, placementOf(machine, task), isOvertaken = false, provesLastExit = false)
     }
 
     /** Returns the placement of the attempt that [task] reports, or null if this leader has none on [machine]. */
@@ -53,9 +55,16 @@
 
     /**
      * Applies one reported [task] and returns the order that follows from it, or null. [placement] is that of the
-     * reported attempt, null if there is none.
+     * reported attempt, null if there is none. [provesLastExit]: whether the worker had received or dropped every
+     * earlier answer when it made the report, so that no attempt which the report shows as exited was started again.
      */
-    private fun applyStatus(machine: Machine, task: TaskStatus, placement: Placement?, isOvertaken: Boolean): Order? {
+    private fun applyStatus(
+        machine: Machine,
+        task: TaskStatus,
+        placement: Placement?,
+        isOvertaken: Boolean,
+        provesLastExit: Boolean,
+    ): Order? {
         if (placement == null) {
             return if (task.stage == TaskStage.EXITED) forgetExit(task) else stopUnknownTask(machine, task, isOvertaken)
         }
@@ -64,6 +73,8 @@
         when {
             task.stage != TaskStage.EXITED -> updateStage(machine, placement, task.stage)
             isRestartable(placement, task) -> return restartGangTask(placement, isOvertaken)
+            // This attempt may have been started again since, by an earlier leader or by the last answer.
+            task.cause == ExitCause.GANG_INCOMPLETE && !provesLastExit -> Unit
             else -> onExit(placement, task.cause)
         }
         return null
--- a/src/test/kotlin/plankwall/core/heartbeat/HeartbeatHandlerTest.kt
+++ b/src/test/kotlin/plankwall/core/heartbeat/HeartbeatHandlerTest.kt
@@ -130,4 +130,44 @@
         assertEquals(expectedOrders, answer.filter { it.task == 0 }.joinToString(" ") { it.op.name })
         assertEquals(keepsPlacement, job.placements[0] === placed[0])
     }
+
+    /**
+     * Guards against a gang's task that runs twice: an earlier leader had started the attempt again after its exit, and
+     * an old heartbeat or the answer to a direct command shows that exit to the leader.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "old heartbeat, GANG_INCOMPLETE, true",
+        "command reply, GANG_INCOMPLETE, true",
+        "heartbeat with the token, GANG_INCOMPLETE, false",
+        "old heartbeat, PEER_LOST, false",
+        "command reply, STOPPED, false",
+        "old heartbeat, DONE, false",
+    )
+    fun `an exit that the same attempt may have outlived releases a task only by a heartbeat with the token`(
+        report: String,
+        cause: ExitCause,
+        keepsPlacement: Boolean,
+    ) {
+        core.lead()
+        val spec = SimulatedCluster.job(1, Shape.GANG, tasks = 2)
+        val placed = listOf("i-1", "i-2").mapIndexed { task, name ->
+            val machine = core.machine(name).apply { session = 1 }
+            schedulerState.place(core.learn(spec), task, machine, 7).apply {
+                stored = true
+                isCommanded = true
+            }
+        }
+        schedulerState.stop(placed[1], StopCause.DRAINED, 0.0)
+        val exit = TaskStatus(spec.id, 0, 7, TaskStage.EXITED, cause, false)
+        val shown = heartbeat("i-1", 3, listOf(exit))
+        when (report) {
+            "old heartbeat" -> handler.onHeartbeat(shown)
+            "command reply" -> handler.onCommandReply(shown.copy(token = CoreParts.EPOCH))
+            else -> handler.onHeartbeat(shown.copy(token = CoreParts.EPOCH))
+        }
+        assertEquals(keepsPlacement, placed[0].job.placements[0] === placed[0])
+        handler.onHeartbeat(shown.copy(seq = 4, token = CoreParts.EPOCH))
+        assertTrue(0 !in placed[0].job.placements, "a heartbeat with the token proves the exit")
+    }
 }
