Let workers keep an exit until the release of its placement is stored

What callers would see: an attempt that has exited runs a second time after a failover, and an old heartbeat with its first exit could release it while it runs. Cause: a leader had an exit forgotten in the next answer. If it ended before the release was stored, the next leader found the placement and ordered the attempt to start, which the worker no longer knew. Only successes were kept. Change: the exits of a job whose release is not stored are known, and a committed page write ends that. Result: HeartbeatHandlerTest 'a worker is ordered to forget an exit only once ...' failed before.

--- a/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
@@ -92,11 +92,13 @@
     }
 
     /**
-     * Returns the order to forget an exited [task] without a placement, or null while it reports a success that is not
-     * stored yet: the worker must keep the exit until then.
+     * Returns the order to forget an exited [task] without a placement, or null while its success or the release of its
+     * placement is not stored yet. The worker must keep the exit until then: a leader that finds the placement stored
+     * orders the attempt to start, which has no effect only as long as the worker knows the attempt.
      */
     private fun forgetExit(task: TaskStatus): Order? {
         val job = schedulerState.find(task.jobId)
+        if (job != null && job.unstoredExits[task.task] == task.attempt) return null
         if (job != null && task.cause == ExitCause.DONE) {
             if (!job.done[task.task.coerceIn(0, job.spec.tasks - 1)]) schedulerState.complete(job, task.task)
             if (!job.storedDone[task.task]) return null
--- a/src/main/kotlin/plankwall/core/state/Job.kt
+++ b/src/main/kotlin/plankwall/core/state/Job.kt
@@ -140,6 +140,9 @@
     /** The number of [placements] that are being stopped. */
     var stoppingCount = 0
 
+    /** The attempt of each task that has exited and whose placement the state service may still hold. */
+    val unstoredExits = HashMap<Int, Long>()
+
     /** The pages and the parts of split pages, by their number in the stored key. */
     val pages = HashMap<Int, TaskPage>()
 
--- a/src/main/kotlin/plankwall/core/state/PageSnapshot.kt
+++ b/src/main/kotlin/plankwall/core/state/PageSnapshot.kt
@@ -16,6 +16,9 @@
     val done: BitSet,
     partSize: Int,
 ) {
+    /** The exited attempts of [Job.unstoredExits] whose placements the record does not hold any more. */
+    val exits: Map<Int, Long> = job.unstoredExits.filterKeys { it in page.firstTask until page.endTask }
+
     /** The record that is written under [key]. */
     val record = PageRecord(
         done,
--- a/src/main/kotlin/plankwall/core/state/PageWriteResults.kt
+++ b/src/main/kotlin/plankwall/core/state/PageWriteResults.kt
@@ -45,6 +45,7 @@
         snapshot.page.writeAlone = false
         snapshot.placements.filterNot { it.stored }.forEach { onStored(it, revision) }
         snapshot.job.storedDone.or(snapshot.done)
+        snapshot.exits.forEach { (task, attempt) -> snapshot.job.unstoredExits.remove(task, attempt) }
     }
 
     private fun onStored(placement: Placement, revision: Long) {
--- a/src/main/kotlin/plankwall/core/state/SchedulerState.kt
+++ b/src/main/kotlin/plankwall/core/state/SchedulerState.kt
@@ -217,6 +217,7 @@
         if (job.placements[task] !== placement) return false
         job.placements.remove(task)
         if (placement.stopping != null) job.stoppingCount--
+        if (placement.hasExited) job.unstoredExits[task] = placement.attempt
         placement.machine.remove(placement)
         usedByTeam[job.team.value] -= job.spec.need
         job.pageOf(task).dirty = true
--- a/src/test/kotlin/plankwall/core/heartbeat/HeartbeatHandlerTest.kt
+++ b/src/test/kotlin/plankwall/core/heartbeat/HeartbeatHandlerTest.kt
@@ -14,6 +14,8 @@
 import plankwall.simulation.SimulatedCluster
 import plankwall.wire.ExitCause
 import plankwall.wire.HeartbeatStatus
+import plankwall.wire.OrderOp
+import plankwall.wire.StateResult
 import plankwall.wire.TaskStage
 import plankwall.wire.TaskStatus
 
@@ -170,4 +172,29 @@
         handler.onHeartbeat(shown.copy(seq = 4, token = CoreParts.EPOCH))
         assertTrue(0 !in placed[0].job.placements, "a heartbeat with the token proves the exit")
     }
+
+    /**
+     * Guards against an attempt that runs again after a failover: its worker had forgotten the exit before the release
+     * was stored, so that the next leader ordered the stored attempt to start.
+     */
+    @Test
+    fun `a worker is ordered to forget an exit only once the release of the placement is stored`() {
+        core.lead()
+        val job = core.learn(SimulatedCluster.job(1))
+        val machine = core.machine("i-1").apply { session = 1 }
+        schedulerState.place(job, 0, machine, 7).apply {
+            stored = true
+            isCommanded = true
+        }
+        val exit = TaskStatus(job.spec.id, 0, 7, TaskStage.EXITED, ExitCause.ERROR, false)
+        fun orders(seq: Long) = handler.onHeartbeat(heartbeat("i-1", seq, listOf(exit))).orEmpty().map { it.op }
+        orders(3)
+        assertEquals(emptyList<OrderOp>(), orders(4))
+        schedulerState.flush()
+        core.confirmWrites(StateResult.Unknown)
+        assertEquals(emptyList<OrderOp>(), orders(5), "the write may not have been applied")
+        schedulerState.flush()
+        core.confirmWrites(StateResult.Committed(9))
+        assertEquals(listOf(OrderOp.FORGET), orders(6))
+    }
 }
