End the process after an error that can't be contained

What callers saw: after a stack overflow the leader went on renewing its lease and did half its work, so no later job started; where the overflow hit a connection, the process accepted no connection any more and did not end. Cause: only exceptions were caught. An Error ended whatever coroutine it hit, and the process lived on; a loop could also end quietly when a channel below it was cancelled. Change: whatever ends a coroutine of the process but a cancellation is logged and ends it with exit code 70. The loops that accept connections and keep those to peers end it if they end. A call of the state service or the cloud always has a result, and a fault in one effect does not keep the others back.

--- a/src/main/kotlin/plankwall/cli/Serve.kt
+++ b/src/main/kotlin/plankwall/cli/Serve.kt
@@ -1,23 +1,16 @@
 package plankwall.cli
 
-import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.asCoroutineDispatcher
-import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withContext
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import plankwall.cli.settings.IdentitiesFile
 import plankwall.cli.settings.InvalidSettingsException
 import plankwall.cli.settings.SettingsFile
 import plankwall.cli.settings.TuningFile
-import plankwall.io.Daemon
+import plankwall.io.ControllerProcess
 import plankwall.model.Tuning
 import java.io.File
 import java.io.IOException
 import java.util.concurrent.Callable
-import java.util.concurrent.Executors
 
 /** Runs one controller node until the process is killed. */
 @Command(name = "serve", description = ["Run one controller node until it is killed."], mixinStandardHelpOptions = true)
@@ -39,27 +32,14 @@
         val settings = SettingsFile.read(config)
         val operatorTuning = tuning?.let { TuningFile.read(it) } ?: Tuning()
         val accessComponents = identities?.let { GatewayComponents.create(IdentitiesFile.read(it), settings) }
-        val coreDispatcher = newDaemonDispatcher("core")
-        val selector = SelectorManager(newDaemonDispatcher("selector"))
-        runBlocking {
-            withContext(coreDispatcher) {
-                val scope = CoroutineScope(coreDispatcher + SupervisorJob())
-                try {
-                    Daemon(scope, selector, settings, operatorTuning, accessComponents).run()
-                } catch (e: IOException) {
-                    throw InvalidSettingsException(
-                        "can't listen on ${settings.front} or ${settings.internal}: ${e.message}",
-                        e,
-                    )
-                }
-            }
+        try {
+            ControllerProcess.run(settings, operatorTuning, accessComponents)
+        } catch (e: IOException) {
+            throw InvalidSettingsException(
+                "can't listen on ${settings.front} or ${settings.internal}: ${e.message}",
+                e,
+            )
         }
         return 0
     }
-
-    companion object {
-        /** Creates a dispatcher with one daemon thread called [name]. */
-        internal fun newDaemonDispatcher(name: String) =
-            Executors.newSingleThreadExecutor { Thread(it, name).apply { isDaemon = true } }.asCoroutineDispatcher()
-    }
 }
--- a/src/main/kotlin/plankwall/cli/WarmUp.kt
+++ b/src/main/kotlin/plankwall/cli/WarmUp.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import picocli.CommandLine.Command
 import plankwall.cli.settings.SettingsFile
+import plankwall.io.ControllerProcess
 import plankwall.io.Daemon
 import plankwall.io.HttpClient
 import plankwall.io.HttpReply
@@ -29,8 +30,8 @@
 @Command(name = "warm-up", hidden = true, description = ["Load the classes that `serve` needs, then exit."])
 class WarmUp : Callable<Int> {
     override fun call(): Int {
-        val coreDispatcher = Serve.newDaemonDispatcher("core")
-        val selector = SelectorManager(Serve.newDaemonDispatcher("selector"))
+        val coreDispatcher = ControllerProcess.newDaemonDispatcher("core")
+        val selector = SelectorManager(ControllerProcess.newDaemonDispatcher("selector"))
         runBlocking {
             withContext(coreDispatcher) {
                 val scope = CoroutineScope(coreDispatcher + SupervisorJob())
--- a/src/main/kotlin/plankwall/io/Accept.kt
+++ b/src/main/kotlin/plankwall/io/Accept.kt
@@ -2,9 +2,10 @@
 
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
-import kotlinx.coroutines.CancellationException
+import io.ktor.network.sockets.isClosed
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
@@ -23,13 +24,13 @@
     while (isActive) {
         val socket = try {
             listener.accept()
-        } catch (e: CancellationException) {
-            throw e
         } catch (
             // The process has probably run out of sockets. Without a pause, this loop would keep a processor fully
-            // busy.
+            // busy. A cancellation may be that of the listener's channel only.
             @Suppress("TooGenericExceptionCaught") e: Exception,
         ) {
+            ensureActive()
+            check(!listener.isClosed) { "listener closed: $e" }
             log.debug("accept failed error={}", e.toString())
             delay(ACCEPT_RETRY_DELAY_MS)
             continue
--- a/src/main/kotlin/plankwall/io/CloudClient.kt
+++ b/src/main/kotlin/plankwall/io/CloudClient.kt
@@ -1,7 +1,9 @@
 package plankwall.io
 
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import org.slf4j.LoggerFactory
 import plankwall.model.Address
 import plankwall.wire.CloudCodec
@@ -29,12 +31,18 @@
         val startMs = maxOf(calledAtMs, nextRequestMs)
         nextRequestMs = startMs + intervalMs
         if (startMs > calledAtMs) delay(startMs - calledAtMs)
-        val outcome = send(op)
         return try {
-            interpretOutcome(op, outcome)
+            interpretOutcome(op, send(op))
         } catch (e: MalformedMessageException) {
             log.warn("cloud answer malformed op={} problem={}", op, e.message)
             CloudResult.Trouble
+        } catch (
+            // Whoever waits for the result would wait for ever.
+            @Suppress("TooGenericExceptionCaught") e: Exception,
+        ) {
+            currentCoroutineContext().ensureActive()
+            log.error("cloud call failed op={}", op, e)
+            CloudResult.Trouble
         }
     }
 
--- a/src/main/kotlin/plankwall/io/Daemon.kt
+++ b/src/main/kotlin/plankwall/io/Daemon.kt
@@ -56,7 +56,10 @@
             processInput(Input.PeerMessageReceived(it))
         }
 
-    /** Serves until [scope] ends; throws [java.io.IOException] if an address can't be bound. */
+    /**
+     * Serves until [scope] ends; throws [java.io.IOException] if an address can't be bound. An error that can't be
+     * contained to one input is passed on, or reaches the exception handler of [scope].
+     */
     suspend fun run() {
         HttpServer(scope, selector, settings.frontConnections, routes::handle).start(settings.front)
         peerLinks.listen(settings.internal)
@@ -76,13 +79,23 @@
         val effects = try {
             controller.step(System.nanoTime() / NANOS_PER_S, System.currentTimeMillis(), input)
         } catch (
-            // A fault in the handling of one input must not end the process.
+            // A fault in the handling of one input must not end the process. An Error must: it has left the
+            // controller's state halfway through a change.
             @Suppress("TooGenericExceptionCaught") e: Exception,
         ) {
             log.error("step failed input={}", input.javaClass.simpleName, e)
             return
         }
-        effects.forEach(::performEffect)
+        effects.forEach { effect ->
+            try {
+                performEffect(effect)
+            } catch (
+                // A fault in one effect must not keep the others from being performed.
+                @Suppress("TooGenericExceptionCaught") e: Exception,
+            ) {
+                log.error("effect failed effect={}", effect.javaClass.simpleName, e)
+            }
+        }
     }
 
     private fun performEffect(effect: Effect) {
--- a/src/main/kotlin/plankwall/io/HttpClient.kt
+++ b/src/main/kotlin/plankwall/io/HttpClient.kt
@@ -7,8 +7,9 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.writeFully
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.withTimeout
 import plankwall.model.Address
@@ -75,12 +76,12 @@
             withTimeout(timeoutMs) { exchange.run(formatRequest(method, path, body)) }
         } catch (e: TimeoutCancellationException) {
             exchange.classifyFailure(e)
-        } catch (e: CancellationException) {
-            throw e
         } catch (
-            // Sockets, channels and the parser throw many kinds of exceptions; each is an outcome of the request.
+            // Sockets, channels and the parser throw many kinds of exceptions; each is an outcome of the request, also
+            // the cancellation of a channel. Only the caller's own cancellation is passed on.
             @Suppress("TooGenericExceptionCaught") e: Exception,
         ) {
+            currentCoroutineContext().ensureActive()
             exchange.classifyFailure(e)
         } finally {
             callsInProgress--
--- a/src/main/kotlin/plankwall/io/HttpServer.kt
+++ b/src/main/kotlin/plankwall/io/HttpServer.kt
@@ -14,7 +14,6 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import org.slf4j.LoggerFactory
 import plankwall.model.Address
@@ -39,7 +38,9 @@
     /** Binds [address] and serves it until [scope] ends; throws [java.io.IOException] if it can't be bound. */
     suspend fun start(address: Address): ServerSocket {
         val listener = aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
-        scope.launch { acceptConnections(listener, { openConnections < maxConnections }, ::serve) }
+        scope.launchPermanentLoop("accept loop of $address") {
+            acceptConnections(listener, { openConnections < maxConnections }, ::serve)
+        }
         return listener
     }
 
--- a/src/main/kotlin/plankwall/io/PeerLinks.kt
+++ b/src/main/kotlin/plankwall/io/PeerLinks.kt
@@ -53,7 +53,7 @@
     /** The frames to send, by the name of the peer's node. */
     private val queues = peers.associate { peer ->
         val queue = Channel<ByteArray>(MAX_QUEUED_FRAMES, BufferOverflow.DROP_OLDEST)
-        scope.launch { keepConnected(peer, queue) }
+        scope.launchPermanentLoop("connection to ${peer.node}") { keepConnected(peer, queue) }
         peer.node to queue
     }
 
@@ -119,7 +119,9 @@
     /** Accepts peers on [address] until [scope] ends; throws [java.io.IOException] if it can't be bound. */
     suspend fun listen(address: Address) {
         val listener = aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
-        scope.launch { acceptConnections(listener, { incomingConnections < maxIncomingConnections }, ::receive) }
+        scope.launchPermanentLoop("accept loop of $address") {
+            acceptConnections(listener, { incomingConnections < maxIncomingConnections }, ::receive)
+        }
     }
 
     private suspend fun receive(socket: Socket) {
--- a/src/main/kotlin/plankwall/io/StateClient.kt
+++ b/src/main/kotlin/plankwall/io/StateClient.kt
@@ -1,6 +1,8 @@
 package plankwall.io
 
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import org.slf4j.LoggerFactory
 import plankwall.model.Address
 import plankwall.wire.MalformedMessageException
@@ -28,6 +30,13 @@
     } catch (e: MalformedMessageException) {
         log.warn("state service answer malformed op={} problem={}", describeOperation(op), e.message)
         StateResult.Unknown
+    } catch (
+        // Whoever waits for the result, a watch for example, would wait for ever.
+        @Suppress("TooGenericExceptionCaught") e: Exception,
+    ) {
+        currentCoroutineContext().ensureActive()
+        log.error("state service call failed op={}", describeOperation(op), e)
+        StateResult.Unknown
     }
 
     private suspend fun send(op: StateOp): HttpOutcome = when (op) {
