--- a/src/main/kotlin/plankwall/simulation/ControllerEffects.kt
+++ b/src/main/kotlin/plankwall/simulation/ControllerEffects.kt
@@ -140,12 +140,19 @@
             val timeoutS = if (op is StateOp.Watch) op.waitMs / 1000.0 + WATCH_TIMEOUT_MARGIN_S else STORE_TIMEOUT_S
             clock.after(timeoutS) { answerOnce(StateResult.Unknown) }
         }
-        network.carry(name, "state", onRefused = { answerOnce(StateResult.Refused) }) {
+        val isSlow = op !is StateOp.Watch && faults.slowStoreCalls > 0 && random.nextDouble() < faults.slowStoreCalls
+        if (isSlow) faults.count("slow store calls")
+        network.carry(name, "state", delayS = storeDelayS(isSlow), onRefused = { answerOnce(StateResult.Refused) }) {
             state.run(op) { result ->
                 delayWhileWatchBlocked(op) {
                     val isLost = op !is StateOp.Watch && random.nextDouble() < faults.answerLoss
                     val receivedResult = if (isLost) StateResult.Unknown else StoreAnswers.asReceived(result)
-                    network.carry("state", name, onRefused = { answerOnce(StateResult.Unknown) }) {
+                    network.carry(
+                        "state",
+                        name,
+                        delayS = storeDelayS(isSlow),
+                        onRefused = { answerOnce(StateResult.Unknown) },
+                    ) {
                         answerOnce(receivedResult)
                     }
                 }
@@ -153,6 +160,9 @@
         }
     }
 
+    private fun storeDelayS(isSlow: Boolean): Double =
+        if (isSlow) random.nextDouble() * MAX_SLOW_STORE_DELAY_S else REPLY_DELAY_S
+
     /**
      * Calls [onServed] at once, but delays the answer to a watch while the store is down or cut off from the
      * controller.
@@ -173,6 +183,7 @@
         const val COMMAND_DELAY_S = 0.01
         const val REPLY_DELAY_S = 0.005
         const val STORE_TIMEOUT_S = 1.5
+        const val MAX_SLOW_STORE_DELAY_S = 0.6
         const val MAX_LATE_WRITE_DELAY_S = 30.0
 
         /** The time after which a watch over a cut link fails, in seconds; other store calls are refused at once. */
--- a/src/main/kotlin/plankwall/simulation/InjectedFaults.kt
+++ b/src/main/kotlin/plankwall/simulation/InjectedFaults.kt
@@ -17,6 +17,12 @@
     /** The share of store transactions that are applied at once while their answer is lost. */
     var lostCommitAnswers = 0.0
 
+    /**
+     * The share of the store calls, watches excepted, that are slow: the request arrives up to 0.6 s late, and so does
+     * the answer.
+     */
+    var slowStoreCalls = 0.0
+
     /** The share of the frames between controllers that are lost. */
     var frameLoss = 0.0
 
