Decide what a user is told of a job from one moment, and never behind a known final stage

What callers saw: of a job that depends on a cancelled one, a user was told withdrawn; another user who asked later, at another controller, was told pending (went_back).

Cause: a check on a copy whose subject had left the copy. StatusHandler and ResubmissionResponder took from the copy of the live jobs that the job is live, then read the final records of its dependencies, then asked the copy whether the job is cancelled. If the job ended during that read, the copy had forgotten it, and "not among the cancelled ones" was taken as "not cancelled". The larger the deployment, the longer the reads and the longer such a job stays live, since the leader's writes wait for their rate.

Why this works: JobStateResolver alone decides, for status and for repeated submissions. It decides in the step in which it answers; after each read it decides anew, and a job that is no longer live is answered with its final record. So no answer combines what was known at two moments.

FinalStages asserts the rule at run time for every answer with a job's state (submit, repeat, status, cancel): a node never follows a final stage that it has read or told with another. An answer to a request that was already under way is replaced by the final state; one to a later request is refused with 503, logged as an error with its evidence and counted. The check comes after the audit record is stored.

--- a/src/main/kotlin/plankwall/core/api/CancelHandler.kt
+++ b/src/main/kotlin/plankwall/core/api/CancelHandler.kt
@@ -69,7 +69,7 @@
             when {
                 result is StateResult.Committed -> {
                     log.info("job cancelled by user job={}", id)
-                    pending.answer(200, JobCodec.accepted(views.ofCancelled(id)))
+                    pending.answerJob(200, views.ofCancelled(id))
                 }
                 result is StateResult.Conflict && attemptsLeft > 1 -> cancel(pending, id, attemptsLeft - 1)
                 else -> pending.rejectTemporarily("the state service did not confirm")
--- a/src/main/kotlin/plankwall/core/api/JobApi.kt
+++ b/src/main/kotlin/plankwall/core/api/JobApi.kt
@@ -24,27 +24,28 @@
     onJobOver: (job: String) -> Unit,
     keepFacts: Boolean = false,
 ) {
-    private val admission = RequestAdmission(ctx, leadership.reachability)
-    private val jobCache = JobCache(ctx, keepFacts, leadership.cancellations, onJobOver)
+    private val finalStages = FinalStages(ctx)
+    private val admission = RequestAdmission(ctx, leadership.reachability, finalStages)
+    private val jobCache = JobCache(ctx, keepFacts, leadership.cancellations, finalStages, onJobOver)
     private val submitHandler: SubmitHandler
     private val statusHandler: StatusHandler
     private val cancelHandler: CancelHandler
 
     init {
-        val lookup = JobLookup(ctx, jobCache)
+        val lookup = JobLookup(ctx, jobCache, finalStages)
         val recordSize = JobRecordSize(ctx)
         val views = JobViews(jobCache, leadership.cancellations, progressOf)
-        val cancellationResolver = CancellationResolver(admission, lookup, jobCache)
+        val stateResolver = JobStateResolver(admission, lookup, jobCache)
         submitHandler = SubmitHandler(
             ctx,
             admission,
             lookup,
             SubmissionCheck(ctx, catalogCache, recordSize),
             DependencyCheck(jobCache, lookup, admission),
-            ResubmissionResponder(jobCache, lookup, cancellationResolver, views),
+            ResubmissionResponder(stateResolver, views),
             views,
         )
-        statusHandler = StatusHandler(admission, jobCache, lookup, cancellationResolver, views)
+        statusHandler = StatusHandler(admission, jobCache, lookup, stateResolver, views)
         cancelHandler = CancelHandler(ctx, admission, lookup, recordSize, views)
     }
 
--- a/src/main/kotlin/plankwall/core/api/JobCache.kt
+++ b/src/main/kotlin/plankwall/core/api/JobCache.kt
@@ -6,6 +6,7 @@
 import plankwall.core.statemachine.Context
 import plankwall.model.JobFacts
 import plankwall.model.JobStage
+import plankwall.model.JobView
 import plankwall.model.factsFor
 import plankwall.wire.JobRecord
 import plankwall.wire.Keys
@@ -21,12 +22,14 @@
  *
  * @param keepFacts whether to keep for each live job the facts that authorization rules evaluate
  * @param cancellations receives each cancelled job that is read; null in tests only
+ * @param finalStages receives the final stage of each cancelled job that is read
  * @param onJobOver called with the id of each job that is no longer live
  */
 class JobCache(
     private val ctx: Context,
     private val keepFacts: Boolean = false,
     private val cancellations: Cancellations? = null,
+    private val finalStages: FinalStages = FinalStages(ctx),
     private val onJobOver: (job: String) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("api")
@@ -35,7 +38,8 @@
     private val factsByJob = HashMap<String, JobFacts>()
 
     /** The store's revision that this copy shows, or [UNREAD]. */
-    private var revision = UNREAD
+    var revision = UNREAD
+        private set
 
     /** The callbacks of the requests that wait for the next read to begin. */
     private var waiters = ArrayList<(Boolean) -> Unit>()
@@ -108,11 +112,18 @@
             for (event in result.events) {
                 val record = event.value as? JobRecord
                 if (record != null) {
-                    addJob(Keys.jobId(event.key), record)
+                    addJob(Keys.jobId(event.key), record, event.version)
                 } else if (event.value == null) {
                     removeJob(Keys.jobId(event.key))
                 }
             }
+            log.debug(
+                "changes read revision={} after_revision={} events={} took_s={}",
+                result.revision,
+                revision,
+                result.events.size,
+                ctx.now - startedAt,
+            )
             revision = maxOf(revision, result.revision)
             cancellations?.onStoreRead(startedAt)
         } else if (result == StateResult.TooOld) {
@@ -121,13 +132,14 @@
         finishRead(servedWaiters, fresh = result is StateResult.News)
     }
 
-    private fun addJob(id: String, record: JobRecord) {
+    private fun addJob(id: String, record: JobRecord, version: Long) {
         liveJobs.add(id)
         if (keepFacts) factsByJob[id] = record.spec.factsFor(record.owner)
         dependencies.add(id, record.spec.dependencies)
         if (record.cancelledMs > 0) {
             dependencies.markCancelled(id)
             cancellations?.recordCancelled(id)
+            finalStages.recordRead(JobView(id, JobStage.CANCELLED, 0, 0), "job record", version)
         }
     }
 
@@ -169,7 +181,7 @@
         liveJobs.clear()
         factsByJob.clear()
         dependencies.clear()
-        items.forEach { item -> (item.value as? JobRecord)?.let { addJob(Keys.jobId(item.key), it) } }
+        items.forEach { item -> (item.value as? JobRecord)?.let { addJob(Keys.jobId(item.key), it, item.version) } }
         revision = itemsRevision
         log.debug("live jobs read jobs={} revision={}", liveJobs.size, itemsRevision)
     }
--- a/src/main/kotlin/plankwall/core/api/JobLookup.kt
+++ b/src/main/kotlin/plankwall/core/api/JobLookup.kt
@@ -2,6 +2,7 @@
 
 import plankwall.core.statemachine.Context
 import plankwall.model.JobFacts
+import plankwall.model.JobView
 import plankwall.model.factsFor
 import plankwall.wire.FinalRecord
 import plankwall.wire.JobRecord
@@ -27,8 +28,12 @@
     class Final(val record: FinalRecord) : JobLookupResult
 }
 
-/** Looks jobs up in the store. Only final records are cached, since they never change. */
-class JobLookup(private val ctx: Context, private val jobCache: JobCache) {
+/**
+ * Looks jobs up in the store. Only final records are cached, since they never change.
+ *
+ * @param finalStages receives the outcome of each job whose final record is read
+ */
+class JobLookup(private val ctx: Context, private val jobCache: JobCache, private val finalStages: FinalStages) {
     private val finalRecords = object : LinkedHashMap<String, FinalRecord>(16, 0.75f, true) {
         override fun removeEldestEntry(eldest: Map.Entry<String, FinalRecord>): Boolean = size > MAX_CACHED_RECORDS
     }
@@ -53,8 +58,9 @@
     /** Reads the final record of job [id] and caches it. The result is [JobLookupResult.Absent] if there is none. */
     fun readFinalRecord(id: String, onResult: (JobLookupResult) -> Unit) =
         ctx.out.state(StateOp.Get(Keys.final(id))) { result ->
-            val record = (result as? StateResult.Item)?.item?.value as? FinalRecord
-            if (record != null) finalRecords[id] = record
+            val item = (result as? StateResult.Item)?.item
+            val record = item?.value as? FinalRecord
+            if (record != null) cache(id, record, item.version)
             onResult(
                 when {
                     result !is StateResult.Item -> JobLookupResult.Unreadable
@@ -64,6 +70,11 @@
             )
         }
 
+    private fun cache(id: String, record: FinalRecord, revision: Long) {
+        finalRecords[id] = record
+        finalStages.recordRead(JobView(id, record.stage, record.done, 0), "final record", revision)
+    }
+
     /** Returns those of [ids] that nothing read by this node so far shows as accepted. */
     fun notKnownAccepted(ids: List<String>): List<String> = ids.filter { !jobCache.isLive(it) && it !in finalRecords }
 
--- a/src/main/kotlin/plankwall/core/api/PendingRequest.kt
+++ b/src/main/kotlin/plankwall/core/api/PendingRequest.kt
@@ -1,5 +1,6 @@
 package plankwall.core.api
 
+import org.slf4j.LoggerFactory
 import plankwall.core.statemachine.Action
 import plankwall.core.statemachine.Caller
 import plankwall.core.statemachine.Context
@@ -20,6 +21,7 @@
  * @property caller the authenticated caller; null without access control, where all actions are allowed and no
  *   decision is recorded
  * @param timeoutS seconds from now to the deadline
+ * @param finalStages decides whether an answer about a job may still be sent
  * @param onlyOthersCanServe returns whether other nodes reach the state service and this one does not; the caller of a
  *   request answered with 503 is then asked to reconnect through the load balancer instead of reusing its connection
  * @param onAnswered called once, just before the answer is sent
@@ -29,6 +31,7 @@
     private val request: RequestId,
     val caller: Caller?,
     private val timeoutS: Double,
+    private val finalStages: FinalStages,
     private val onlyOthersCanServe: () -> Boolean,
     private val onAnswered: () -> Unit,
 ) {
@@ -47,6 +50,29 @@
         }
     }
 
+    /**
+     * Answers with [status] and the state [view] of a job, in the form that [encode] gives it. If the job has ended
+     * since [view] was read, its final state is sent instead.
+     */
+    fun answerJob(status: Int, view: JobView, encode: (JobView) -> ByteArray = JobCodec::accepted) {
+        if (isAnswered) return
+        val latestView = finalStages.latest(view, startedAt)
+        if (latestView == null) {
+            rejectTemporarily("the state of ${view.id} can't be told")
+        } else {
+            log.debug(
+                "state told request={} job={} status={} stage={} read_stage={} asked_s_ago={}",
+                request.value,
+                view.id,
+                status,
+                latestView.stage,
+                view.stage,
+                ctx.now - startedAt,
+            )
+            answer(status, encode(latestView))
+        }
+    }
+
     /** Answers 429: the rate limit is reached. */
     fun rejectRateLimited() = answer(429, JobCodec.error("too many requests"), 1)
 
@@ -60,21 +86,28 @@
      * Records the decision on [requested] in the audit log and answers with [status] and [body] once it is stored, or
      * with 503 if it could not be stored.
      */
-    fun recordAndAnswer(requested: RequestedAction, status: Int, body: ByteArray) {
+    fun recordAndAnswer(requested: RequestedAction, status: Int, body: ByteArray) =
+        record(requested, status) { answer(status, body) }
+
+    /** Records the decision on [requested] and then answers with the state [view] of its job, see [answerJob]. */
+    fun recordAndAnswer(
+        requested: RequestedAction,
+        status: Int,
+        view: JobView,
+        encode: (JobView) -> ByteArray = JobCodec::accepted,
+    ) = record(requested, status) { answerJob(status, view, encode) }
+
+    private fun record(requested: RequestedAction, status: Int, onRecorded: () -> Unit) {
         val decision = requested.decisionFor(status)
         if (caller == null || decision == null) {
-            answer(status, body)
+            onRecorded()
             return
         }
         caller.record(decision) { stored ->
-            if (stored) answer(status, body) else rejectTemporarily("the decision can't be recorded now")
+            if (stored) onRecorded() else rejectTemporarily("the decision can't be recorded now")
         }
     }
 
-    /** Records the decision on [requested] and answers with [view], the state of its job. */
-    fun recordAndAnswer(requested: RequestedAction, status: Int, view: JobView) =
-        recordAndAnswer(requested, status, JobCodec.accepted(view))
-
     /**
      * Authorizes the caller for [action] on [job] by the rules of the access policy, which evaluate [facts]. Returns
      * null if the action is denied; the denial is then recorded and answered. [facts] is null for a job that does
@@ -108,6 +141,7 @@
 
         /** The time that users wait for a submission or a cancellation, in seconds, as the protocol specifies. */
         const val CHANGE_TIMEOUT_S = 5.0
+        private val log = LoggerFactory.getLogger("api")
         private val DEADLINE_EXCEEDED = JobCodec.error("the answer would come too late")
     }
 }
--- a/src/main/kotlin/plankwall/core/api/RequestAdmission.kt
+++ b/src/main/kotlin/plankwall/core/api/RequestAdmission.kt
@@ -11,7 +11,11 @@
  * Admission control for users' requests: bounds the number in flight, and limits the rate of state service calls made
  * for them to this node's share of the rate that all nodes have for users' requests.
  */
-internal class RequestAdmission(private val ctx: Context, private val reachability: ReachabilityMatrix) {
+internal class RequestAdmission(
+    private val ctx: Context,
+    private val reachability: ReachabilityMatrix,
+    private val finalStages: FinalStages,
+) {
     private val log = LoggerFactory.getLogger("api")
     private var inFlight = 0
     private var nextRateUpdateAt = 0.0
@@ -35,7 +39,14 @@
      */
     fun open(request: RequestId, caller: Caller?, timeoutS: Double = PendingRequest.CHANGE_TIMEOUT_S): PendingRequest {
         inFlight++
-        return PendingRequest(ctx, request, caller, timeoutS, reachability::isStoreReachableOnlyByPeers) { inFlight-- }
+        return PendingRequest(
+            ctx,
+            request,
+            caller,
+            timeoutS,
+            finalStages,
+            reachability::isStoreReachableOnlyByPeers,
+        ) { inFlight-- }
     }
 
     /**
--- a/src/main/kotlin/plankwall/core/api/ResubmissionResponder.kt
+++ b/src/main/kotlin/plankwall/core/api/ResubmissionResponder.kt
@@ -4,12 +4,7 @@
 import plankwall.wire.FinalRecord
 
 /** Answers submissions of jobs that were accepted before, with the job's state: submissions are idempotent. */
-internal class ResubmissionResponder(
-    private val jobCache: JobCache,
-    private val lookup: JobLookup,
-    private val cancellationResolver: CancellationResolver,
-    private val views: JobViews,
-) {
+internal class ResubmissionResponder(private val stateResolver: JobStateResolver, private val views: JobViews) {
     /** Answers [pending] with the state of job [id], for which a look-up returned [found]. */
     fun answer(pending: PendingRequest, id: String, found: JobLookupResult) {
         when (found) {
@@ -37,15 +32,12 @@
             pending.recordAndAnswer(authorizedAction, 200, views.ofAccepted(id, isCancelled))
             return
         }
-        jobCache.whenFresh { fresh ->
-            when {
-                !fresh -> pending.rejectUnreadable()
-                jobCache.isLive(id) -> cancellationResolver.resolve(pending, id) { isCancelledNow ->
-                    pending.recordAndAnswer(authorizedAction, 200, views.ofAccepted(id, isCancelledNow))
-                }
-                else -> lookup.readFinalRecord(id) { result ->
-                    if (result is JobLookupResult.Final) answer(pending, id, result) else pending.rejectUnreadable()
-                }
+        stateResolver.resolve(pending, id) { state ->
+            when (state) {
+                JobState.Absent -> pending.rejectUnreadable()
+                JobState.Active -> pending.recordAndAnswer(authorizedAction, 200, views.ofPending(id))
+                JobState.Cancelled -> pending.recordAndAnswer(authorizedAction, 200, views.ofCancelled(id))
+                is JobState.Ended -> answerEnded(pending, id, state.record)
             }
         }
     }
--- a/src/main/kotlin/plankwall/core/api/SubmitHandler.kt
+++ b/src/main/kotlin/plankwall/core/api/SubmitHandler.kt
@@ -143,7 +143,7 @@
         if (spec.dependencies.isNotEmpty()) {
             log.info("job waits for dependencies job={} dependencies={}", spec.id, spec.dependencies)
         }
-        pending.answer(201, JobCodec.accepted(views.ofPending(spec.id)))
+        pending.answerJob(201, views.ofPending(spec.id))
     }
 
     /**
