lab soak: print overtaken answers, and repeat requests only for jobs known to be accepted

Users now repeat a cancellation only once they know that the job was accepted; the check is unchanged.

An overtaken answer is printed with the times of its request, of the answer and of the final stage.

--- a/src/main/kotlin/plankwall/cli/SoakCommand.kt
+++ b/src/main/kotlin/plankwall/cli/SoakCommand.kt
@@ -93,6 +93,7 @@
         val contradictions = countContradictions(runFolder)
         val isSound = figures.violations.isEmpty() && contradictions == 0 && figures.endedByItself == 0
         printRun(seed, figures, contradictions)
+        figures.answersOvertaken.take(MAX_SHOWN_VIOLATIONS).forEach { println("  answer overtaken: $it") }
         if (isSound) {
             runFolder.deleteRecursively()
         } else {
--- a/src/main/kotlin/plankwall/loadtest/LoadTestUsers.kt
+++ b/src/main/kotlin/plankwall/loadtest/LoadTestUsers.kt
@@ -204,7 +204,7 @@
             val node = requests.pickNode() ?: continue
             if (requests.cancel(id, node).isFinal) {
                 cluster.meters.latencies.cancellation.recordSeconds(cluster.clock.now - startedAtS)
-                val spec = cluster.specOf(id)
+                val spec = cluster.specOf(id)?.takeIf { cluster.checker.isAccepted(id) }
                 if (plan.work.repeatRequests && spec != null) repeatingUsers.request(spec, cancel = true)
                 return
             }
--- a/src/main/kotlin/plankwall/simulation/StageRules.kt
+++ b/src/main/kotlin/plankwall/simulation/StageRules.kt
@@ -36,7 +36,8 @@
             if (isFinal || askedAt >= jobs.finalStageAt(id)) {
                 violations.add("went_back: $id from $knownStage to $stage")
             } else {
-                answersOvertaken.add("$id: $stage, asked at $askedAt s, told at $now s, after $knownStage")
+                val times = "asked at %.3f s, told at %.3f s".format(askedAt, now)
+                answersOvertaken.add("$id: $stage, $times, after $knownStage at %.3f s".format(jobs.finalStageAt(id)))
             }
         }
         checkCancelRequested(id, stage)
