Limit the tasks of a machine by the bytes of its worker's heartbeat, not by their number

Callers saw: with long job ids, or beside many exits, the heartbeat of a machine with hundreds of small tasks exceeded 64 KiB. Every controller answered it with 400, so the worker's lease expired and it killed all tasks on the machine.

Cause: a machine took up to 700 tasks and exits, whatever their size. An exit of a gang's task with an id of 22 characters takes over 100 bytes.

Why it works: each entry is counted with the bytes that it can take at most in any stage, with any cause and attempt; HeartbeatSize derives them from the codec.

A body that is too long is now logged; it was refused silently. The simulated workers' heartbeats are refused beyond 64 KiB too. BestEffortJobsTest's case that counted to 700 is replaced by HeartbeatLimitTest, which encodes the heartbeat instead: 700 tasks were too many for it.

--- a/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
@@ -7,6 +7,7 @@
 import plankwall.core.statemachine.Context
 import plankwall.model.ImageIndex
 import plankwall.wire.ExitCause
+import plankwall.wire.HeartbeatSize
 import plankwall.wire.Order
 import plankwall.wire.OrderOp
 import plankwall.wire.TaskStage
@@ -27,7 +28,7 @@
      */
     fun reconcile(machine: Machine, tasks: List<TaskStatus>, isOvertaken: Boolean): List<Order> {
         machine.unknownTasks = 0
-        machine.exitsInHeartbeat = tasks.count { it.stage == TaskStage.EXITED }
+        machine.exitBytes = exitBytes(tasks)
         val orders = ArrayList<Order>()
         val shownPlacements = HashSet<Placement>()
         for (task in tasks) {
@@ -49,6 +50,10 @@
         applyStatus(machine, task, placementOf(machine, task), isOvertaken = false, provesLastExit = false)
     }
 
+    /** Returns the most bytes that the exited ones of the reported [tasks] take in a heartbeat. */
+    private fun exitBytes(tasks: List<TaskStatus>): Int =
+        HeartbeatSize.maxTaskBytes(tasks.filter { it.stage == TaskStage.EXITED })
+
     /** Returns the placement of the attempt that [task] reports, or null if this leader has none on [machine]. */
     private fun placementOf(machine: Machine, task: TaskStatus): Placement? =
         schedulerState.find(task.jobId)?.let { machine.placement(it, task.task) }?.takeIf { it.attempt == task.attempt }
--- a/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
+++ b/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
@@ -62,7 +62,7 @@
     /** Whether a task of [job] may run on [machine], free capacity aside. */
     fun isEligible(job: Job, machine: Machine, zones: ZoneConstraint): Boolean = Placer.isAllowed(job.spec, machine) &&
         zones.allows(machine) &&
-        machine.fitsHeartbeat &&
+        machine.freeHeartbeatBytes >= job.heartbeatBytesPerTask &&
         machine.index.value !in job.failedMachines &&
         !(job.bestEffort && wouldDelayScaleIn(job, machine))
 
--- a/src/main/kotlin/plankwall/core/state/Job.kt
+++ b/src/main/kotlin/plankwall/core/state/Job.kt
@@ -6,6 +6,7 @@
 import plankwall.model.Priority
 import plankwall.model.Shape
 import plankwall.model.TeamIndex
+import plankwall.wire.HeartbeatSize
 import plankwall.wire.JobProgress
 import plankwall.wire.Keys
 import java.util.BitSet
@@ -38,6 +39,9 @@
     val learnedAt: Double,
     private val hasServiceObjective: Boolean = true,
 ) {
+    /** The most bytes that a task takes in the heartbeats of its worker. */
+    val heartbeatBytesPerTask = HeartbeatSize.maxTaskBytes(spec.id)
+
     /**
      * The store's version of the job's record. Every write about the job is guarded on it, so that no task starts after
      * a cancellation.
--- a/src/main/kotlin/plankwall/core/state/Machine.kt
+++ b/src/main/kotlin/plankwall/core/state/Machine.kt
@@ -6,6 +6,7 @@
 import plankwall.model.MachineType
 import plankwall.model.Resources
 import plankwall.model.Shape
+import plankwall.wire.HeartbeatSize
 import plankwall.wire.ListedState
 
 /**
@@ -107,17 +108,19 @@
     val placements = LinkedHashMap<Long, Placement>()
 
     /**
-     * The number of exited tasks in the last heartbeat. Heartbeats repeat an exit until the worker is ordered to forget
-     * it, which happens only once the end of the task is stored.
+     * The most bytes that the exited tasks of the last status take in the worker's heartbeats. Heartbeats repeat an exit
+     * until the worker is ordered to forget it, which happens only once the end of the task is stored.
      */
-    var exitsInHeartbeat = 0
+    var exitBytes = 0
+
+    /** The most bytes that the [placements] take in the worker's heartbeats. */
+    private var placementBytes = 0
 
     /**
-     * Whether one more task fits into the worker's heartbeat. A heartbeat may have 64 KiB: no node could read a longer
-     * one, and the worker would lose its lease with all its tasks. Hundreds of small tasks of an array, along with as
-     * many exits, come close to that.
+     * The bytes left in the worker's heartbeat for the entries of further tasks; negative if it may be too long already.
+     * Hundreds of small tasks, along with as many exits, come close to what [HeartbeatSize] allows.
      */
-    val fitsHeartbeat: Boolean get() = placements.size + exitsInHeartbeat < MAX_TASKS_IN_HEARTBEAT
+    val freeHeartbeatBytes: Int get() = HeartbeatSize.MAX_TASKS_BYTES - placementBytes - exitBytes
 
     /** The resources that the [placements] use. */
     var used = Resources.NONE
@@ -206,6 +209,7 @@
     /** Adds [placement], which takes its resources from the free capacity. */
     fun add(placement: Placement) {
         placements[keyOf(placement)] = placement
+        placementBytes += placement.job.heartbeatBytesPerTask
         val need = placement.job.spec.need
         used += need
         if (placement.job.spec.shape == Shape.SERVICE) usedByServices += need
@@ -215,6 +219,7 @@
     /** Removes [placement] and frees its resources; does nothing if it is not on this machine. */
     fun remove(placement: Placement) {
         if (placements.remove(keyOf(placement)) == null) return
+        placementBytes -= placement.job.heartbeatBytesPerTask
         val need = placement.job.spec.need
         used -= need
         if (placement.job.spec.shape == Shape.SERVICE) usedByServices -= need
@@ -281,11 +286,5 @@
 
         /** The number of bits that the task takes in the keys of [placements]. */
         private const val TASK_BITS = 20
-
-        /**
-         * 64 KiB hold this many entries of about 90 bytes each, which allows for the longest names, attempts and
-         * causes.
-         */
-        private const val MAX_TASKS_IN_HEARTBEAT = 700
     }
 }
--- a/src/main/kotlin/plankwall/io/HttpServer.kt
+++ b/src/main/kotlin/plankwall/io/HttpServer.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.withTimeout
 import org.slf4j.LoggerFactory
 import plankwall.model.Address
+import plankwall.wire.HeartbeatSize
 
 /**
  * An HTTP/1.1 server for users and workers: the parser of Ktor's CIO engine on plain ktor-network sockets. Ktor's full
@@ -72,7 +73,8 @@
         while (keepAlive) {
             val request = withTimeout(IDLE_TIMEOUT_MS) { parseRequest(input) } ?: return
             keepAlive = try {
-                val body = withTimeout(BODY_TIMEOUT_MS) { readBody(request.headers, input, MAX_BODY_BYTES) }
+                val body =
+                    withTimeout(BODY_TIMEOUT_MS) { readBody(request.headers, input, HeartbeatSize.MAX_BODY_BYTES) }
                 respond(request, body, clientAddress, output)
             } finally {
                 request.release()
@@ -89,7 +91,11 @@
     ): Boolean {
         // The connection can't be reused after a body that is too long, because the remainder was not read.
         val reply = when (body) {
-            null -> HttpReply(HttpStatus.BAD_REQUEST, BODY_TOO_LONG_JSON)
+            null -> {
+                val length = request.headers["Content-Length"]
+                log.info("request body too long path={} bytes={} client={}", request.uri, length, clientAddress)
+                HttpReply(HttpStatus.BAD_REQUEST, BODY_TOO_LONG_JSON)
+            }
             else -> onRequest(HttpRequest(request, body, clientAddress))
         }
         val keepAlive = body != null && !reply.closeConnection && !announcesClose(request.headers)
@@ -114,7 +120,6 @@
     }
 
     private companion object {
-        const val MAX_BODY_BYTES = 64 * 1024
         const val IDLE_TIMEOUT_MS = 90_000L
         const val BODY_TIMEOUT_MS = 10_000L
         val BODY_TOO_LONG_JSON = """{"error":"a body may have at most 64 KiB"}""".encodeToByteArray()
--- a/src/main/kotlin/plankwall/simulation/HeartbeatDelivery.kt
+++ b/src/main/kotlin/plankwall/simulation/HeartbeatDelivery.kt
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode
 import plankwall.core.statemachine.Input
+import plankwall.wire.HeartbeatSize
 import plankwall.wire.HeartbeatStatus
+import plankwall.wire.WorkerCodec
 
 /** Carries heartbeats from workers to controllers and the answers back, subject to the cluster's [InjectedFaults]. */
 internal class HeartbeatDelivery(private val cluster: SimulatedCluster) {
@@ -30,6 +32,11 @@
         if (!node.isUp || "${node.name}-workers" in faults.cuts || zone in faults.cutZones) return
         check(worker.id == heartbeat.machine)
         if (worker.id in faults.outboundBlocked) return faults.count("reports lost")
+        if (isTooLong(heartbeat)) {
+            faults.count("reports too long")
+            network.carry(worker.id, node.name, zone) { onAnswer(BAD_REQUEST, NO_BODY) }
+            return
+        }
         keepOrScheduleCopies(worker, node, heartbeat)
         val sentAt = clock.now
         network.carry(worker.id, node.name, zone, onRefused = { onAnswer(UNAVAILABLE, NO_BODY) }) {
@@ -44,6 +51,10 @@
         }
     }
 
+    /** Whether [heartbeat] is longer than a request may be, so that every controller refuses it. */
+    private fun isTooLong(heartbeat: HeartbeatStatus): Boolean = heartbeat.tasks.size > MANY_TASKS &&
+        WorkerCodec.writeHeartbeat(heartbeat).size > HeartbeatSize.MAX_BODY_BYTES
+
     /** Keeps a copy for the next leader and schedules a late copy, each with the probability that the faults set. */
     private fun keepOrScheduleCopies(worker: SimulatedWorker, node: SimulatedController, heartbeat: HeartbeatStatus) {
         if (faults.copiesForNextLeader > 0 &&
@@ -98,7 +109,11 @@
 
     private companion object {
         const val MAX_COPIES = 60
+        const val BAD_REQUEST = 400
         const val UNAVAILABLE = 503
+
+        /** Heartbeats with fewer tasks are surely short enough, so their size is not computed. */
+        const val MANY_TASKS = 100
         val NO_BODY: JsonNode = SimulatedWorker.json.nullNode()
     }
 }
--- a/src/main/kotlin/plankwall/wire/WorkerCodec.kt
+++ b/src/main/kotlin/plankwall/wire/WorkerCodec.kt
@@ -115,6 +115,9 @@
         }
     }
 
+    /** Returns the bytes that [task] takes in a heartbeat, without the comma that parts it from the next one. */
+    internal fun sizeOf(task: TaskStatus): Int = writeJson { writeJsonObject { writeTaskFields(task) } }.size
+
     private fun JsonGenerator.writeTaskFields(task: TaskStatus) {
         writeStringField(Fields.TASK, "${task.jobId}/${task.task}")
         writeNumberField(Fields.ATTEMPT, task.attempt)
--- /dev/null
+++ b/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
@@ -0,0 +1,95 @@
+package plankwall.core.placement
+
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import plankwall.core.heartbeat.HeartbeatHandler
+import plankwall.core.state.Machine
+import plankwall.core.state.Placement
+import plankwall.fixtures.CoreParts
+import plankwall.model.JobSpec
+import plankwall.model.Resources
+import plankwall.model.Shape
+import plankwall.simulation.SimulatedCluster
+import plankwall.wire.ExitCause
+import plankwall.wire.HeartbeatStatus
+import plankwall.wire.TaskStage
+import plankwall.wire.TaskStatus
+import plankwall.wire.WorkerCodec
+
+/** Tests that neither a worker's heartbeat nor a message to it grows beyond 64 KiB, which is all that is read. */
+class HeartbeatLimitTest {
+    private val core = CoreParts()
+    private val handler = HeartbeatHandler(core.ctx, core.leadership, core.schedulerState, core.fleet)
+    private val placer = Placer(core.ctx, core.schedulerState, core.fleet)
+    private var seq = 0L
+
+    private fun heartbeat(machine: String, tasks: List<TaskStatus> = emptyList()) =
+        HeartbeatStatus(machine, "addr:$machine", "box", "a", false, 1, ++seq, CoreParts.EPOCH, null, tasks)
+
+    private fun jobId(number: Int, digits: Int) = "job-%0${digits}d".format(number)
+
+    private fun tinyTasks(shape: Shape, tasks: Int, idDigits: Int): JobSpec =
+        SimulatedCluster.job(1, shape, tasks).copy(id = jobId(1, idDigits), need = Resources(1, 0, 1))
+
+    private fun exitsOfEarlierJob(count: Int, idDigits: Int) =
+        List(count) { TaskStatus(jobId(9, idDigits), it, LONG_ATTEMPT, TaskStage.EXITED, ExitCause.STOPPED, true) }
+
+    private fun exit(placement: Placement) = TaskStatus(
+        placement.job.spec.id,
+        placement.task,
+        placement.attempt,
+        TaskStage.EXITED,
+        ExitCause.PEER_LOST,
+        false,
+    )
+
+    private fun bytesOf(machine: Machine, tasks: List<TaskStatus>) = WorkerCodec.writeHeartbeat(
+        heartbeat(machine.id, tasks).copy(
+            address = "2001:db8:ffff:ffff:ffff:ffff:ffff:ffff:65535",
+            type = "a-machine-type-with-a-long-name",
+            noticeS = 1234.5,
+        ),
+    ).size
+
+    /** Returns the size of the heartbeat once all placements on [machine] have exited beside the [exits]. */
+    private fun bytesOnceAllExit(machine: Machine, exits: List<TaskStatus>): Int =
+        bytesOf(machine, exits + machine.placements.values.map { exit(it).copy(attempt = LONG_ATTEMPT) })
+
+    /**
+     * Guards against a worker that loses its lease with all its tasks because no controller reads its heartbeat: only
+     * the number of tasks was limited, but with long ids and exit causes fewer of them fill a heartbeat.
+     */
+    @ParameterizedTest(name = "{0} of {1} tasks, ids of {2} digits, {3} exits on each machine")
+    @CsvSource(
+        "ARRAY, 2000, 6, 0",
+        "ARRAY, 2000, 18, 0",
+        "ARRAY, 2000, 18, 400",
+        "ARRAY, 2000, 6, 400",
+        "SERVICE, 2000, 18, 0",
+    )
+    fun `no machine gets more tasks than its heartbeat holds`(shape: Shape, tasks: Int, idDigits: Int, exits: Int) {
+        val earlier = exitsOfEarlierJob(exits, idDigits)
+        val machines = List(2) { core.machine("i-00000$it") }
+        machines.forEach { handler.onHeartbeat(heartbeat(it.id, earlier)) }
+        core.learn(tinyTasks(shape, tasks, idDigits))
+        repeat(PASSES) { placer.runPass() }
+        machines.forEach { machine ->
+            assertTrue(bytesOnceAllExit(machine, earlier) <= MAX_BODY_BYTES, "the heartbeat can be read")
+            assertTrue(machine.placements.size + exits >= LEAST_TASKS, "only the heartbeat limits the tasks")
+        }
+    }
+
+    private companion object {
+        const val MAX_BODY_BYTES = 64 * 1024
+
+        /** More than enough passes to fill the machines. */
+        const val PASSES = 60
+
+        /** A heartbeat with at least this many tasks and exits counts as used. */
+        const val LEAST_TASKS = 450
+
+        /** An attempt number as a leader gives it after billions of changes in the store. */
+        const val LONG_ATTEMPT = 45_000_000_000_000_001L
+    }
+}
--- a/src/test/kotlin/plankwall/simulation/faults/BestEffortJobsTest.kt
+++ b/src/test/kotlin/plankwall/simulation/faults/BestEffortJobsTest.kt
@@ -177,19 +177,6 @@
         assertEquals(expectedBestEffort, job.bestEffort, name)
     }
 
-    /**
-     * Hundreds of tiny tasks on one machine, and as many exits that wait to be stored, come close to what a heartbeat
-     * may hold.
-     */
-    @ParameterizedTest(name = "{0} exits in the last heartbeat, {1} tasks placed")
-    @CsvSource("0, 20", "690, 10", "700, 0")
-    fun `a machine gets no more tasks than its heartbeat can hold`(exits: Int, expectedPlacements: Int) {
-        readyMachine("i-000001").exitsInHeartbeat = exits
-        val job = core.learn(SimulatedCluster.job(1, tasks = 20).copy(need = Resources(1, 0, 1)))
-        Placer(ctx, core.schedulerState, core.fleet).runPass()
-        assertEquals(expectedPlacements, job.placements.size)
-    }
-
     @Test
     fun `jobs of a class without an objective are done in the end although there is little other load`() {
         val cluster = SimulatedCluster(61, objectives = listOf(Objective("finished", "class", 100.0, 0.9)))
