Request machines for tasks that the heartbeats of the others have no room for

Callers saw: an array of 1,200 tiny tasks got one machine, which ran as many of them as its heartbeat holds; the others waited although the cloud was idle.

Cause: the estimator packed tasks into machines by CPUs, GPUs and memory only, so tasks that the placement rightly refused a machine counted as placed there.

Why it works: a bin counts the bytes of the heartbeat as the placement does.

--- a/src/main/kotlin/plankwall/core/autoscaling/CapacityBin.kt
+++ b/src/main/kotlin/plankwall/core/autoscaling/CapacityBin.kt
@@ -6,12 +6,26 @@
 import plankwall.model.GroupKey
 import plankwall.model.MachineType
 import plankwall.model.Resources
+import plankwall.wire.HeartbeatSize
 
 /**
  * A machine of [group], arriving or to be requested, into which the [Estimator] packs tasks. [free] is the capacity
- * that no packed task takes yet.
+ * that no packed task takes yet, [freeHeartbeatBytes] the space left in its worker's heartbeat.
  */
-internal open class CapacityBin(val group: GroupKey, var free: Resources) {
+internal open class CapacityBin(
+    val group: GroupKey,
+    protected var free: Resources,
+    private var freeHeartbeatBytes: Int = HeartbeatSize.MAX_TASKS_BYTES,
+) {
+    /** Whether one more task of [job] fits. */
+    fun fits(job: Job): Boolean = freeHeartbeatBytes >= job.heartbeatBytesPerTask && job.spec.need.fitsIn(freeFor(job))
+
+    /** Packs one task of [job]. */
+    fun add(job: Job) {
+        free -= job.spec.need
+        freeHeartbeatBytes -= job.heartbeatBytesPerTask
+    }
+
     /** Returns the capacity into which tasks of [job] may be packed. */
     open fun freeFor(job: Job): Resources = free
 
@@ -24,7 +38,7 @@
  * arriving machine for a task that would start there earlier, image fetch included, than on a newly requested machine.
  */
 internal class VacatingBin(private val ctx: Context, private val machine: Machine, group: GroupKey) :
-    CapacityBin(group, Resources.NONE) {
+    CapacityBin(group, Resources.NONE, machine.freeHeartbeatBytes) {
     private val taskEnds = machine.placements.values.mapNotNull { placement ->
         placement.secondsUntilEnd(ctx.now)?.let { TaskEnd(it, placement.job.spec.need) }
     }
--- a/src/main/kotlin/plankwall/core/autoscaling/Estimator.kt
+++ b/src/main/kotlin/plankwall/core/autoscaling/Estimator.kt
@@ -92,7 +92,7 @@
                 while (index < bins.size && !fits(job, bins[index], zones, requiredZone)) index++
                 if (index == bins.size) addBin(chooseGroup(job, remainingTasks + 1, zones, requiredZone) ?: break)
                 val bin = bins[index]
-                bin.free -= job.spec.need
+                bin.add(job)
                 zones.addPlanned(bin.group.zone)
                 addPlannedUse(job, job.spec.need)
             }
@@ -119,7 +119,7 @@
             (requiredZone == null || bin.group.zone == requiredZone) &&
                 Placer.isAllowed(job.spec, bin.group) &&
                 zones.allows(bin.group.zone) &&
-                job.spec.need.fitsIn(bin.freeFor(job)) &&
+                bin.fits(job) &&
                 leftover.mayFill(job, bin.group)
 
         private fun addBin(group: GroupKey) {
--- a/src/main/kotlin/plankwall/core/autoscaling/ExpandableGroups.kt
+++ b/src/main/kotlin/plankwall/core/autoscaling/ExpandableGroups.kt
@@ -7,6 +7,7 @@
 import plankwall.model.GroupKey
 import plankwall.model.MachineType
 import plankwall.model.Resources
+import plankwall.wire.HeartbeatSize
 
 /**
  * The groups that may be expanded (the paper's step 6).
@@ -66,7 +67,8 @@
      * for less, since only later tasks may use it.
      */
     private fun estimateUsefulTasks(type: MachineType, job: Job, remainingTasks: Int): Double {
-        val fittingTasks = type.capacity.countFitting(job.spec.need)
+        val tasksInHeartbeat = HeartbeatSize.MAX_TASKS_BYTES / job.heartbeatBytesPerTask
+        val fittingTasks = minOf(type.capacity.countFitting(job.spec.need), tasksInHeartbeat)
         val tasksAtOnce = minOf(fittingTasks, remainingTasks)
         return tasksAtOnce + LATER_TASK_VALUE * (fittingTasks - tasksAtOnce)
     }
--- a/src/test/kotlin/plankwall/core/autoscaling/EstimatorTest.kt
+++ b/src/test/kotlin/plankwall/core/autoscaling/EstimatorTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.fixtures.CoreParts
+import plankwall.model.Resources
 import plankwall.model.Shape
 import plankwall.simulation.SimulatedCluster
 
@@ -49,6 +50,30 @@
         assertEquals(requested, requests.values.sum(), name)
     }
 
+    /**
+     * Guards against a gang that waits for ever: by its needs it fits on one machine, and no other was requested,
+     * although the heartbeat of one machine can't hold all its tasks.
+     */
+    @ParameterizedTest(name = "{0} tasks, {1} running and {2} arriving machines, {3} requested")
+    @CsvSource("1200, 0, 0, 3", "1200, 1, 0, 2", "1200, 1, 2, 0", "1200, 0, 1, 2", "400, 0, 0, 1")
+    fun `machines are requested for as many tasks as their heartbeats hold`(
+        tasks: Int,
+        running: Int,
+        arriving: Int,
+        requested: Int,
+    ) {
+        val gang = core.learn(SimulatedCluster.job(1, Shape.GANG, tasks).copy(need = Resources(1, 0, 1)))
+        val demand = ScaleOutDemand(
+            running = List(running) { core.machine("i-00000$it") },
+            arriving = List(arriving) { CoreParts.GROUP },
+            pending = listOf(gang),
+            countWaitingTasks = { it.waiting.size },
+        )
+        val requests = Estimator(ctx, core.schedulerState, SimulatedCluster.CATALOG)
+            .estimate(demand, ExpandableGroups({ true }) { 0 })
+        assertEquals(requested, requests.values.sum())
+    }
+
     @ParameterizedTest(name = "{0}")
     @CsvSource(
         // name, replicas, how many of them are on a machine presumed lost, whether they are spread over zones, whether
