--- a/src/main/kotlin/plankwall/core/autoscaling/CapacityBin.kt
+++ b/src/main/kotlin/plankwall/core/autoscaling/CapacityBin.kt
@@ -38,7 +38,7 @@
  * arriving machine for a task that would start there earlier, image fetch included, than on a newly requested machine.
  */
 internal class VacatingBin(private val ctx: Context, private val machine: Machine, group: GroupKey) :
-    CapacityBin(group, Resources.NONE, machine.freeHeartbeatBytes) {
+    CapacityBin(group, Resources.NONE, machine.unheldHeartbeatBytes) {
     private val taskEnds = machine.placements.values.mapNotNull { placement ->
         placement.secondsUntilEnd(ctx.now)?.let { TaskEnd(it, placement.job.spec.need) }
     }
--- a/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
+++ b/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
@@ -24,7 +24,7 @@
     fun beginPass() {
         reservedTasksByJob.clear()
         for (machine in fleet.machines) {
-            if (machine.heldCapacity !== Resources.NONE) machine.heldCapacity = Resources.NONE
+            machine.endHold()
             if (machine.reservations.isEmpty()) continue
             machine.reservations.removeIf { reservation ->
                 val job = reservation.job
@@ -59,6 +59,17 @@
         return free
     }
 
+    /** Returns how many tasks of [job] fit on [machine] beside what is reserved for other jobs and held for gangs. */
+    fun countFitting(job: Job, machine: Machine): Int =
+        countFitting(job, freeCapacityFor(job, machine), machine.unheldHeartbeatBytes)
+
+    /** Returns how many tasks of [job] fit on [machine] if what is reserved and held counts as free. */
+    fun countFittingWithHeld(job: Job, machine: Machine): Int =
+        countFitting(job, machine.free, machine.freeHeartbeatBytes)
+
+    private fun countFitting(job: Job, free: Resources, heartbeatBytes: Int): Int =
+        minOf(free.countFitting(job.spec.need), heartbeatBytes / job.heartbeatBytesPerTask)
+
     /** Whether a task of [job] may run on [machine], free capacity aside. */
     fun isEligible(job: Job, machine: Machine, zones: ZoneConstraint): Boolean = Placer.isAllowed(job.spec, machine) &&
         zones.allows(machine) &&
@@ -79,6 +90,7 @@
     /** Whether a task of [job] may run on [machine] and there is enough free capacity for it. */
     fun canPlace(job: Job, machine: Machine, zones: ZoneConstraint): Boolean = job.spec.need.fitsIn(machine.free) &&
         isEligible(job, machine, zones) &&
+        machine.unheldHeartbeatBytes >= job.heartbeatBytesPerTask &&
         job.spec.need.fitsIn(freeCapacityFor(job, machine))
 
     /**
--- a/src/main/kotlin/plankwall/core/placement/GangPlacer.kt
+++ b/src/main/kotlin/plankwall/core/placement/GangPlacer.kt
@@ -88,7 +88,7 @@
         val slots = ArrayList<Slot>()
         for (machine in machinesWithCapacity) {
             if (!capacity.isEligible(job, machine, zones)) continue
-            val count = capacity.freeCapacityFor(job, machine).countFitting(job.spec.need)
+            val count = capacity.countFitting(job, machine)
             if (count <= 0) continue
             val score = capacity.score(job, machine)
             val fetchWaitS = machine.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
@@ -130,7 +130,7 @@
             return
         }
         val slots = selectSlots(job, slotsByZone[if (job.spec.oneZone) job.heldZone else null].orEmpty())
-        slots.forEach { it.machine.heldCapacity += job.spec.need }
+        slots.forEach { it.machine.hold(job.spec.need, job.heartbeatBytesPerTask) }
         val heldMachines = slots.mapTo(HashSet()) { it.machine }
         tasksWithHeldCapacityByJob[job] =
             slots.size + holdVacatingMachines(job, usableMachines, heldMachines, job.waiting.size - slots.size)
@@ -152,7 +152,7 @@
             .mapNotNull { if (it in heldMachines) null else vacatingMachineOrNull(job, it, zones) }
             .sortedBy { it.canStartInS }
             .take(missingTasks)
-        chosen.forEach { it.machine.heldCapacity += it.machine.free }
+        chosen.forEach { it.machine.hold(it.machine.free, it.machine.freeHeartbeatBytes) }
         return chosen.size
     }
 
--- a/src/main/kotlin/plankwall/core/placement/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/placement/Preemptor.kt
@@ -95,7 +95,7 @@
         // gang.
         val withFreeCapacity = machines.filter { capacity.isEligible(job, it, zones) && job.spec.need.fitsIn(it.free) }
         chosen.addAll(withFreeCapacity)
-        repeat(job.waiting.size - withFreeCapacity.sumOf { it.free.countFitting(job.spec.need) }) {
+        repeat(job.waiting.size - withFreeCapacity.sumOf { capacity.countFittingWithHeld(job, it) }) {
             val preemption = findPreemption(job, machines, zones, chosen) ?: return null
             preemptions.add(preemption)
             chosen.add(preemption.machine)
--- a/src/main/kotlin/plankwall/core/state/Machine.kt
+++ b/src/main/kotlin/plankwall/core/state/Machine.kt
@@ -15,8 +15,8 @@
  *
  * [Fleet] creates it and sets the fields that describe it; [SchedulerState] adds and removes placements; the heartbeat
  * handler sets the fields that heartbeats show, the autoscaler those that concern scale-in, and the placement code
- * [heldCapacity] and [reservations]. The store only holds which machines are to be scaled in; the autoscaler writes
- * that.
+ * what is held for gangs and the [reservations]. The store only holds which machines are to be scaled in; the
+ * autoscaler writes that.
  *
  * @property index the number of the machine, which is only valid as long as this node leads
  * @property id the name that the cloud gave it
@@ -179,6 +179,25 @@
      * [Resources.NONE] itself means that the machine is held, even where none of its capacity is free yet.
      */
     var heldCapacity = Resources.NONE
+        private set
+
+    /** The space in the worker's heartbeat that the last placement pass held for gangs, in bytes. */
+    private var heldHeartbeatBytes = 0
+
+    /** The part of [freeHeartbeatBytes] that is not held for gangs. */
+    val unheldHeartbeatBytes: Int get() = freeHeartbeatBytes - heldHeartbeatBytes
+
+    /** Holds [capacity] for a gang, and [heartbeatBytes] of the worker's heartbeat. */
+    fun hold(capacity: Resources, heartbeatBytes: Int) {
+        heldCapacity += capacity
+        heldHeartbeatBytes += heartbeatBytes
+    }
+
+    /** Ends what was held for gangs. */
+    fun endHold() {
+        if (heldCapacity !== Resources.NONE) heldCapacity = Resources.NONE
+        heldHeartbeatBytes = 0
+    }
 
     /**
      * Capacity for one task of [job], which other jobs may not use before [until], in seconds of the monotonic clock.
--- a/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
+++ b/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
@@ -1,5 +1,6 @@
 package plankwall.core.placement
 
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -80,6 +81,27 @@
         }
     }
 
+    /**
+     * Guards against a gang that never ends: all its tasks were placed on one machine, whose heartbeat was then too
+     * long, so that it lost its lease and killed the tasks of other jobs as well.
+     */
+    @ParameterizedTest(name = "{0} tasks, ids of {1} digits, {2} exits on each machine, {3} tasks placed")
+    @CsvSource("1200, 6, 0, 1200", "1200, 18, 0, 1200", "1200, 6, 400, 0", "300, 6, 400, 300", "2000, 6, 0, 0")
+    fun `a gang is placed on as many machines as its heartbeats need, or not at all`(
+        tasks: Int,
+        idDigits: Int,
+        exits: Int,
+        expectedPlacements: Int,
+    ) {
+        val earlier = exitsOfEarlierJob(exits, idDigits)
+        val machines = List(3) { core.machine("i-00000$it") }
+        machines.forEach { handler.onHeartbeat(heartbeat(it.id, earlier)) }
+        val job = core.learn(tinyTasks(Shape.GANG, tasks, idDigits))
+        placer.runPass()
+        assertEquals(expectedPlacements, job.placements.size)
+        machines.forEach { assertTrue(bytesOnceAllExit(it, earlier) <= MAX_BODY_BYTES, "the heartbeat can be read") }
+    }
+
     private companion object {
         const val MAX_BODY_BYTES = 64 * 1024
 
