Count the exits in answers to direct commands against the heartbeat

Callers saw: after stops of hundreds of tasks, new tasks were placed beside exits that the worker still reported, and its heartbeat could exceed 64 KiB.

Cause: a status in the answer to a direct command released the placements of the exits that it showed, but only heartbeats set what exits take.

Evidence: HeartbeatLimitTest, the case failed before. Why it works: the newest status counts, also after an older heartbeat that it overtook.

--- a/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
@@ -28,7 +28,8 @@
      */
     fun reconcile(machine: Machine, tasks: List<TaskStatus>, isOvertaken: Boolean): List<Order> {
         machine.unknownTasks = 0
-        machine.exitBytes = exitBytes(tasks)
+        // The status that overtook this heartbeat showed these exits, and perhaps later ones.
+        if (!isOvertaken) machine.exitBytes = exitBytes(tasks)
         val orders = ArrayList<Order>()
         val shownPlacements = HashSet<Placement>()
         for (task in tasks) {
@@ -46,8 +47,11 @@
      * others, and gives no orders. The worker may not have received the answer to its last heartbeat yet, which may
      * start an exited attempt again.
      */
-    fun applyShownTasks(machine: Machine, tasks: List<TaskStatus>) = tasks.forEach { task ->
-        applyStatus(machine, task, placementOf(machine, task), isOvertaken = false, provesLastExit = false)
+    fun applyShownTasks(machine: Machine, tasks: List<TaskStatus>) {
+        machine.exitBytes = exitBytes(tasks)
+        for (task in tasks) {
+            applyStatus(machine, task, placementOf(machine, task), isOvertaken = false, provesLastExit = false)
+        }
     }
 
     /** Returns the most bytes that the exited ones of the reported [tasks] take in a heartbeat. */
--- a/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
+++ b/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.heartbeat.HeartbeatHandler
@@ -102,6 +103,29 @@
         machines.forEach { assertTrue(bytesOnceAllExit(it, earlier) <= MAX_BODY_BYTES, "the heartbeat can be read") }
     }
 
+    /**
+     * Guards against a heartbeat that grows too long unseen: exits in the answer to a direct command released their
+     * placements but did not count as exits, so that new tasks were placed beside them.
+     */
+    @Test
+    fun `exits that the answer to a direct command shows take their space in the heartbeat`() {
+        val machine = core.machine("i-000001")
+        handler.onHeartbeat(heartbeat(machine.id))
+        val stopped = core.learn(tinyTasks(Shape.ARRAY, 400, 6))
+        repeat(PASSES) { placer.runPass() }
+        val exits = machine.placements.values.map { exit(it) }
+        stopped.cancelled = true
+        val overtaken = heartbeat(machine.id)
+        handler.onCommandReply(heartbeat(machine.id, exits))
+        core.learn(tinyTasks(Shape.ARRAY, 2000, 6).copy(id = jobId(2, 6)))
+        repeat(PASSES) { placer.runPass() }
+        assertTrue(bytesOnceAllExit(machine, exits) <= MAX_BODY_BYTES, "the heartbeat can be read")
+        handler.onHeartbeat(overtaken)
+        repeat(PASSES) { placer.runPass() }
+        assertTrue(bytesOnceAllExit(machine, exits) <= MAX_BODY_BYTES, "an older heartbeat does not hide the exits")
+        assertTrue(machine.placements.isNotEmpty())
+    }
+
     private companion object {
         const val MAX_BODY_BYTES = 64 * 1024
 
