Start only as many tasks as the worker's next heartbeat has room for

Callers saw: tasks were started beside exits that the leader did not know when it placed the tasks, as a new leader whose first heartbeat of the machine was an old one; the next heartbeat could exceed 64 KiB.

Cause: only the placement looked at the size of the heartbeat, and an answer that carries starts did not look at the heartbeat that it answers.

Evidence: HeartbeatLimitTest, the case failed before. Why it works: the worker has one heartbeat in flight, so nothing can be started between it and its answer.

--- a/src/main/kotlin/plankwall/core/heartbeat/HeartbeatHandler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/HeartbeatHandler.kt
@@ -42,7 +42,8 @@
         if (machine.hasSeenToken) machine.isNotReceivingAnswers = false
         handleTerminationNotice(machine, heartbeat.noticeS)
         val reconciliationOrders = reconciler.reconcile(machine, heartbeat.tasks, isOvertaken)
-        return (reconciliationOrders + orderPlanner.ordersForAnswer(machine)).take(MAX_ORDERS_PER_ANSWER)
+        val placementOrders = orderPlanner.ordersForAnswer(machine, heartbeat.tasks)
+        return (reconciliationOrders + placementOrders).take(MAX_ORDERS_PER_ANSWER)
     }
 
     /**
--- a/src/main/kotlin/plankwall/core/heartbeat/OrderPlanner.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/OrderPlanner.kt
@@ -3,27 +3,40 @@
 import plankwall.core.state.Machine
 import plankwall.core.state.Placement
 import plankwall.core.statemachine.Context
+import plankwall.wire.HeartbeatSize
 import plankwall.wire.Order
 import plankwall.wire.OrderOp
+import plankwall.wire.TaskStatus
 
 /** Derives the orders for workers from the placements on their machines. */
 internal class OrderPlanner(private val ctx: Context) {
     /**
      * Returns the starts and stops for the answer to a heartbeat of [machine], and marks the tasks to be started as
      * commanded. Orders are repeated in each answer until a heartbeat shows their effect.
+     *
+     * The heartbeat shows the [reportedTasks]. Only as many tasks are started as the next one has room for: what a
+     * worker holds is not known before its first heartbeat, and it may keep exits of which this leader knows nothing.
      */
-    fun ordersForAnswer(machine: Machine): List<Order> = machine.placements.values.mapNotNull { placement ->
-        when {
-            placement.hasExited -> null
-            placement.stopping != null -> if (placement.isCommanded) stopOrderFor(placement) else null
-            mayStart(machine, placement) -> {
-                placement.isCommanded = true
-                Order(OrderOp.START, placement.job.spec.id, placement.task, placement.attempt)
+    fun ordersForAnswer(machine: Machine, reportedTasks: List<TaskStatus>): List<Order> {
+        var freeBytes = HeartbeatSize.MAX_TASKS_BYTES - HeartbeatSize.maxTaskBytes(reportedTasks)
+        return machine.placements.values.mapNotNull { placement ->
+            when {
+                placement.hasExited -> null
+                placement.stopping != null -> if (placement.isCommanded) stopOrderFor(placement) else null
+                mayStart(machine, placement) -> {
+                    freeBytes -= placement.job.heartbeatBytesPerTask
+                    if (freeBytes >= 0) startOrderFor(placement) else null
+                }
+                else -> null
             }
-            else -> null
         }
     }
 
+    private fun startOrderFor(placement: Placement): Order {
+        placement.isCommanded = true
+        return Order(OrderOp.START, placement.job.spec.id, placement.task, placement.attempt)
+    }
+
     /**
      * Returns the orders to send to [machine] in a direct command, or null if it needs none now. Only stops are sent
      * that way, since they do no harm when they arrive late, and each is sent once. If a start is due, the higher
--- a/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
+++ b/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
@@ -15,6 +15,7 @@
 import plankwall.simulation.SimulatedCluster
 import plankwall.wire.ExitCause
 import plankwall.wire.HeartbeatStatus
+import plankwall.wire.OrderOp
 import plankwall.wire.TaskStage
 import plankwall.wire.TaskStatus
 import plankwall.wire.WorkerCodec
@@ -126,6 +127,28 @@
         assertTrue(machine.placements.isNotEmpty())
     }
 
+    /**
+     * Guards against starts beside exits of which the leader did not know when it placed the tasks: a new leader may
+     * know only an old heartbeat of a machine. The worker keeps these exits until they are stored.
+     */
+    @Test
+    fun `no more tasks are started than the heartbeat has room for beside what it shows`() {
+        val machine = core.machine("i-000001")
+        handler.onHeartbeat(heartbeat(machine.id))
+        core.learn(tinyTasks(Shape.ARRAY, 2000, 6))
+        repeat(PASSES) { placer.runPass() }
+        machine.placements.values.forEach { it.stored = true }
+        core.learn(SimulatedCluster.job(9, tasks = 350))
+        val exits = exitsOfEarlierJob(350, 6).map { it.copy(cause = ExitCause.DONE) }
+        val orders = checkNotNull(handler.onHeartbeat(heartbeat(machine.id, exits)))
+        val started = orders.filter { it.op == OrderOp.START }
+            .map { TaskStatus(it.jobId, it.task, LONG_ATTEMPT, TaskStage.EXITED, ExitCause.GANG_INCOMPLETE, false) }
+        assertTrue(started.isNotEmpty())
+        assertTrue(bytesOf(machine, exits + started) <= MAX_BODY_BYTES, "the next heartbeat can be read")
+        val later = checkNotNull(handler.onHeartbeat(heartbeat(machine.id, started)))
+        assertTrue(later.any { it.op == OrderOp.START }, "the others start once the exits are gone")
+    }
+
     private companion object {
         const val MAX_BODY_BYTES = 64 * 1024
 
