Send hundreds of stops in several direct commands

Callers saw: the stops of a machine's tasks were lost if their command exceeded 64 KiB, until the answers to later heartbeats carried them. A gang that must stop within gang_peer_s loses its checkpoint by that.

Cause: all unsent stops went into one command, whatever their number.

Evidence: HeartbeatLimitTest, the case (900 stops with long ids) failed before. Why it works: a command holds at most as many orders as an answer, 400, which fit with the longest ids and numbers; the rest follows in the next tick.

--- a/src/main/kotlin/plankwall/core/heartbeat/HeartbeatHandler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/HeartbeatHandler.kt
@@ -43,7 +43,7 @@
         handleTerminationNotice(machine, heartbeat.noticeS)
         val reconciliationOrders = reconciler.reconcile(machine, heartbeat.tasks, isOvertaken)
         val placementOrders = orderPlanner.ordersForAnswer(machine, heartbeat.tasks)
-        return (reconciliationOrders + placementOrders).take(MAX_ORDERS_PER_ANSWER)
+        return (reconciliationOrders + placementOrders).take(MAX_ORDERS_PER_MESSAGE)
     }
 
     /**
@@ -139,9 +139,6 @@
     }
 
     private companion object {
-        /** Orders beyond this number are left to the answers to later heartbeats. */
-        const val MAX_ORDERS_PER_ANSWER = 400
-
         /** A task is left running only if it should end within this share of the time up to the preemption. */
         const val USABLE_NOTICE_SHARE = 0.5
     }
--- a/src/main/kotlin/plankwall/core/heartbeat/OrderPlanner.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/OrderPlanner.kt
@@ -8,6 +8,12 @@
 import plankwall.wire.OrderOp
 import plankwall.wire.TaskStatus
 
+/**
+ * The number of orders in one message to a worker; others are left to later messages. So many of the longest take less
+ * than the 64 KiB that a request or a line of an answer may have.
+ */
+internal const val MAX_ORDERS_PER_MESSAGE = 400
+
 /** Derives the orders for workers from the placements on their machines. */
 internal class OrderPlanner(private val ctx: Context) {
     /**
@@ -51,13 +57,14 @@
         ) {
             return null
         }
-        val stops = machine.placements.values.filter { isStopUnsent(it) }
+        val unsentStops = machine.placements.values.filter { isStopUnsent(it) }
+        val stops = unsentStops.take(MAX_ORDERS_PER_MESSAGE)
         stops.forEach { it.isStopSentDirectly = true }
         val isStartDue = machine.placements.values.any { isStartDue(machine, it) }
         val shouldRequestHeartbeat =
             isStartDue && ctx.now - machine.heartbeatRequestedAt > ctx.settings.workers.leaseS * REQUEST_INTERVAL_LEASES
         if (shouldRequestHeartbeat) machine.heartbeatRequestedAt = ctx.now
-        machine.hasUnsentOrders = isStartDue && !shouldRequestHeartbeat
+        machine.hasUnsentOrders = stops.size < unsentStops.size || (isStartDue && !shouldRequestHeartbeat)
         return if (stops.isEmpty() && !shouldRequestHeartbeat) null else stops.map(::stopOrderFor)
     }
 
--- a/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
+++ b/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
@@ -8,6 +8,7 @@
 import plankwall.core.heartbeat.HeartbeatHandler
 import plankwall.core.state.Machine
 import plankwall.core.state.Placement
+import plankwall.core.state.StopCause
 import plankwall.fixtures.CoreParts
 import plankwall.model.JobSpec
 import plankwall.model.Resources
@@ -149,6 +150,29 @@
         assertTrue(later.any { it.op == OrderOp.START }, "the others start once the exits are gone")
     }
 
+    /** Guards against stops that the worker refuses because there are too many of them in one request. */
+    @Test
+    fun `stops of hundreds of tasks with long ids are sent in several commands that each can be read`() {
+        val machine = core.machine("i-000001")
+        handler.onHeartbeat(heartbeat(machine.id))
+        val job = core.learn(
+            SimulatedCluster.job(1, tasks = 2000).copy(
+                id = jobId(1, 18),
+                checkpointS = 1.0,
+                saveS =
+                0.1 + 0.2,
+            ),
+        )
+        val placements = List(900) { core.schedulerState.place(job, 99_000 + it, machine, LONG_ATTEMPT + it) }
+        placements.forEach { it.isCommanded = true }
+        placements.forEach { core.schedulerState.stopWithCheckpoint(it, StopCause.DRAINED) }
+        val commands = generateSequence { handler.urgentOrders(machine) }.take(placements.size).toList()
+        assertEquals(placements.map { it.task }, commands.flatten().map { it.task }, "each stop is sent once")
+        commands.forEach { orders ->
+            assertTrue(WorkerCodec.commands(Long.MAX_VALUE, Long.MAX_VALUE, orders).size <= MAX_BODY_BYTES)
+        }
+    }
+
     private companion object {
         const val MAX_BODY_BYTES = 64 * 1024
 
