Test late copies of executed commands while machines and controllers restart

A start that reaches a worker again after the worker has forgotten the attempt is executed again. It can't happen here for two reasons: starts are sent only in the answers to heartbeats, which a worker drops after 4 s and which a relaying node passes on only to the open request; direct commands carry only stops, which are harmless for an attempt that is gone. And the token of a direct command rises with each command, so that a worker refuses copies of earlier ones.

--- a/src/main/kotlin/plankwall/simulation/ControllerEffects.kt
+++ b/src/main/kotlin/plankwall/simulation/ControllerEffects.kt
@@ -48,6 +48,7 @@
             if (worker.isHung) faults.count("commands to the hung")
             worker.runWhenResumed {
                 val answer = worker.command(SimulatedWorker.json.readTree(effect.body))
+                scheduleCopy(worker, effect)
                 if (answer != null && clock.now - sentAt < COMMAND_TIMEOUT_S) {
                     network.carry(worker.id, name, zone, delayS = COMMAND_DELAY_S) {
                         deliver(processNumber, Input.WorkerReply(effect.machine, answer.second))
@@ -57,6 +58,17 @@
         }
     }
 
+    /** Lets [worker] execute the command [effect] again later, with the probability that the faults set. */
+    private fun scheduleCopy(worker: SimulatedWorker, effect: Effect.WorkerPost) {
+        if (faults.lateCommandCopies == 0.0 || random.nextDouble() >= faults.lateCommandCopies) return
+        clock.after(random.nextDouble() * 2 * cluster.settings.workers.leaseS) {
+            worker.runWhenResumed {
+                val answer = worker.command(SimulatedWorker.json.readTree(effect.body))
+                if (answer?.first == HTTP_OK) faults.count("late copies of commands executed")
+            }
+        }
+    }
+
     /** Passes [input] to the core unless the process for which it is intended has ended. */
     private fun deliver(processNumber: Int, input: Input) {
         if (controller.processNumber == processNumber) controller.onInput(input)
@@ -181,6 +193,7 @@
         const val CLOUD_ANSWER_DELAY_S = 0.1
         const val COMMAND_TIMEOUT_S = 3.0
         const val COMMAND_DELAY_S = 0.01
+        const val HTTP_OK = 200
         const val REPLY_DELAY_S = 0.005
         const val STORE_TIMEOUT_S = 1.5
         const val MAX_SLOW_STORE_DELAY_S = 0.6
--- a/src/main/kotlin/plankwall/simulation/InjectedFaults.kt
+++ b/src/main/kotlin/plankwall/simulation/InjectedFaults.kt
@@ -32,6 +32,9 @@
     /** The share of the heartbeats of which a second copy arrives between 2 s and 2 s plus two leases later. */
     var lateHeartbeatCopies = 0.0
 
+    /** The share of the direct commands that were executed and are executed once more, up to two leases later. */
+    var lateCommandCopies = 0.0
+
     /**
      * The share of the heartbeats of which a copy is kept and sent to all controllers twice: as soon as the next leader
      * is elected, and 0.3 s or 4 s after the election.
--- a/src/main/kotlin/plankwall/simulation/SimulatedWorker.kt
+++ b/src/main/kotlin/plankwall/simulation/SimulatedWorker.kt
@@ -43,6 +43,10 @@
     /** Index of the controller that gets the next heartbeat. */
     private var targetNode = host.random.nextInt(host.nodeNames.size)
     private var isAlive = true
+    private var isDead = false
+
+    /** The number of restarts; what an earlier run scheduled or sent has no effect any more. */
+    private var run = 0
     private var isAwaitingAnswer = false
     private var lastSentAt = -10.0
 
@@ -68,17 +72,41 @@
     val runningTasks: Int get() = tasks.values.count { it.stage == TaskStage.RUNNING }
 
     init {
-        clock.after(0.01) { sendPeriodically() }
+        clock.after(0.01) { sendPeriodically(run) }
         clock.every(0.1) { if (isAlive) killTasksIfLeaseExpired() }
     }
 
     /** Ends the machine and all of its tasks permanently. */
     fun die() {
+        isDead = true
+        stop()
+    }
+
+    private fun stop() {
         isAlive = false
         tasks.keys.toList().forEach { host.checker.taskStopped(it, this, clock.now) }
         tasks.clear()
     }
 
+    /**
+     * Ends the worker with all of its tasks and starts it anew [afterS] seconds later, as on a machine that reboots. It
+     * goes on with the next sequence number, and in the same session unless [inNewSession]: a late message from before
+     * then finds the session that it is meant for.
+     */
+    fun restart(afterS: Double, inNewSession: Boolean) {
+        if (!isAlive) return
+        stop()
+        clock.after(afterS) {
+            if (isDead) return@after
+            run++
+            if (inNewSession) session++
+            leaseStartedAt = clock.now
+            isAwaitingAnswer = false
+            isAlive = true
+            sendPeriodically(run)
+        }
+    }
+
     /** Kills all tasks and begins a new session if the lease has expired. */
     private fun killTasksIfLeaseExpired() {
         if (clock.now - leaseStartedAt <= host.settings.workers.leaseS) return
@@ -90,11 +118,11 @@
         leaseStartedAt = clock.now
     }
 
-    private fun sendPeriodically() {
-        if (!isAlive) return
+    private fun sendPeriodically(ownRun: Int) {
+        if (!isAlive || ownRun != run) return
         send()
         clock.after(host.settings.workers.heartbeatIntervalS * (0.75 + host.random.nextDouble() / 2)) {
-            sendPeriodically()
+            sendPeriodically(ownRun)
         }
     }
 
@@ -114,6 +142,7 @@
     private inner class SentHeartbeat {
         private val sentAt = clock.now
         private val sentSession = session
+        private val sentRun = run
         private var isSettled = false
 
         fun send() {
@@ -129,14 +158,14 @@
         }
 
         private fun retryAtNextNode() {
-            if (isSettled) return
+            if (isSettled || sentRun != run) return
             markSettled()
             targetNode = (targetNode + 1) % host.nodeNames.size
             clock.after(1.0) { this@SimulatedWorker.send() }
         }
 
         private fun onAnswer(status: Int, body: JsonNode) {
-            if (isSettled || !isAlive || clock.now - sentAt > ANSWER_TIMEOUT_S) return
+            if (isSettled || !isAlive || sentRun != run || clock.now - sentAt > ANSWER_TIMEOUT_S) return
             when (status) {
                 200 -> {
                     markSettled()
