Take bytes in no encoding of JSON as a malformed message

Callers saw: a worker that answered a direct command with bytes like UTF-32 of an unusual byte order ended the controller with code 70. The same bytes in a user's body closed the connection instead of getting 400.

Cause: the parser throws CharConversionException for them, which is an IOException and no JsonProcessingException, and only the latter counted as malformed.

Why it works: parseJson is the one place that parses, and from memory no other IOException occurs.

--- a/src/main/kotlin/plankwall/wire/Json.kt
+++ b/src/main/kotlin/plankwall/wire/Json.kt
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.JsonToken
 import com.fasterxml.jackson.core.StreamReadConstraints
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import java.math.BigDecimal
 
 /** The initial size of an output buffer, which most messages fit. */
@@ -45,6 +46,9 @@
     }
 } catch (exception: JsonProcessingException) {
     throw MalformedMessageException("not JSON: ${exception.originalMessage}", exception)
+} catch (exception: IOException) {
+    // Bytes in no encoding of JSON, such as UTF-32 in an unusual byte order.
+    throw MalformedMessageException("not JSON: ${exception.message}", exception)
 } catch (exception: ArithmeticException) {
     throw MalformedMessageException("number out of range", exception)
 } catch (exception: NumberFormatException) {
--- a/src/test/kotlin/plankwall/fuzz/FuzzTest.kt
+++ b/src/test/kotlin/plankwall/fuzz/FuzzTest.kt
@@ -11,8 +11,12 @@
  * them, which are the same in every run.
  */
 class FuzzTest {
+    /**
+     * The target `message` guards against bytes like UTF-32 of an unusual byte order: in a worker's answer they ended
+     * the process, in a user's body the connection.
+     */
     @ParameterizedTest
-    @ValueSource(strings = ["rights", "token", "frame", "trail", "network"])
+    @ValueSource(strings = ["rights", "token", "frame", "trail", "network", "message"])
     fun `a target withstands its seeds and thousands of mutations of them`(target: String) {
         val random = Random(target.hashCode().toLong())
         val corpus = File(
--- a/src/test/kotlin/plankwall/fuzz/JazzerFuzz.kt
+++ b/src/test/kotlin/plankwall/fuzz/JazzerFuzz.kt
@@ -21,6 +21,9 @@
     @FuzzTest(maxDuration = "10m")
     fun auditLog(data: FuzzedDataProvider) = Targets.run("trail", data.consumeRemainingAsBytes())
 
+    @FuzzTest(maxDuration = "10m")
+    fun message(data: FuzzedDataProvider) = Targets.run("message", data.consumeRemainingAsBytes())
+
     @FuzzTest(maxDuration = "10m")
     fun network(data: FuzzedDataProvider) = Targets.run("network", data.consumeRemainingAsBytes())
 }
--- a/src/test/kotlin/plankwall/fuzz/Targets.kt
+++ b/src/test/kotlin/plankwall/fuzz/Targets.kt
@@ -16,10 +16,21 @@
 import plankwall.identity.TokenReader
 import plankwall.identity.TokenResult
 import plankwall.identity.Tokens
+import plankwall.simulation.SimulatedCluster
 import plankwall.wire.AdminCodec
+import plankwall.wire.CloudCodec
+import plankwall.wire.CloudServiceCodec
+import plankwall.wire.ExitCause
+import plankwall.wire.HeartbeatStatus
+import plankwall.wire.JobCodec
 import plankwall.wire.MalformedMessageException
 import plankwall.wire.PeerCodec
 import plankwall.wire.PeerStatus
+import plankwall.wire.StateCodec
+import plankwall.wire.StateServiceCodec
+import plankwall.wire.TaskStage
+import plankwall.wire.TaskStatus
+import plankwall.wire.WorkerCodec
 
 /**
  * The fuzz targets: the readers of input that anyone can send. A target fails if the input causes another exception
@@ -120,6 +131,53 @@
         }
     }
 
+    /** The readers of messages by the protocols of users, workers, the cloud and the state service. */
+    private val messageReaders = listOf<(ByteArray) -> Any>(
+        JobCodec::read,
+        JobCodec::hasEnded,
+        WorkerCodec::readHeartbeat,
+        CloudCodec::readCatalog,
+        CloudCodec::readRented,
+        CloudCodec::readListed,
+        CloudServiceCodec::readRent,
+        StateCodec::readItem,
+        StateCodec::readItems,
+        StateCodec::readChanges,
+        StateCodec::readCommitted,
+        StateCodec::readGranted,
+        StateCodec::readConflict,
+        StateServiceCodec::readTxn,
+        StateServiceCodec::readGrant,
+    )
+
+    fun message(bytes: ByteArray) {
+        for (reader in messageReaders) {
+            try {
+                reader(bytes)
+            } catch (_: MalformedMessageException) {
+                continue
+            }
+        }
+    }
+
+    /** Messages of each protocol, each in every encoding that JSON texts may have. */
+    private fun messagesInAllEncodings(): List<ByteArray> {
+        val heartbeat = HeartbeatStatus(
+            "i-1", "a:1", "box", "a", false, 1, 2, 3, 60.0,
+            listOf(TaskStatus("job-000001", 0, 7, TaskStage.EXITED, ExitCause.STOPPED, true)),
+        )
+        val messages = listOf(
+            JobCodec.description(SimulatedCluster.job(1, after = listOf(2))).decodeToString(),
+            WorkerCodec.writeHeartbeat(heartbeat).decodeToString(),
+            """{"builds":[{"name":"box","cores":4,"accelerators":1,"ram_gb":16,"cache_gb":9,"pull_gb_per_s":1.0,"rate":2.5,"low_price":1,"ready_s":45,"yards":["a"]}]}""",
+            """{"berths":[{"id":"i-1","address":"a:1","build":"box","yard":"a","loaners":true,"stage":"running","held_s":6.5}],"has_next":false}""",
+            """{"ledger":5,"news":[{"set":"j/job-000001","data":{"x":1},"stamp":5},{"remove":"f/job-000002","stamp":4}]}""",
+            """{"guards":[{"key":"a","stamp":0}],"writes":[{"remove":"a"}]}""",
+        )
+        val encodings = listOf("UTF-8", "UTF-16", "UTF-16BE", "UTF-16LE", "UTF-32BE", "UTF-32LE").map(::charset)
+        return messages.flatMap { message -> encodings.map { message.toByteArray(it) } }
+    }
+
     fun network(text: String) {
         Networks.neighbourhood(text)
         Networks.isSameHost(text, "10.0.0.1:80")
@@ -153,6 +211,7 @@
                     it.encodeToByteArray()
                 },
             ) { network(it.decodeToString()) },
+        "message" to Target(messagesInAllEncodings(), ::message),
     )
     val names: Set<String> get() = targetsByName.keys
 
