--- a/src/main/kotlin/plankwall/core/heartbeat/FaultAttribution.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/FaultAttribution.kt
@@ -27,7 +27,7 @@
         val machine = placement.machine
         val job = placement.job
         machine.failedJobs.add(job.index.value)
-        if (!machine.faulty) job.failedMachines.add(machine.index.value)
+        if (!machine.faulty) job.failedMachines.record(machine.index, ctx.now, ctx.random.nextDouble())
         markFaultyIfProven(machine)
         if (job.isSuspected) delayRetry(job)
     }
@@ -38,7 +38,7 @@
      */
     fun onTaskSucceeded(placement: Placement) {
         placement.machine.failedJobs.clear()
-        placement.job.failedMachines.remove(placement.machine.index.value)
+        placement.job.failedMachines.remove(placement.machine.index)
         markJobSound(placement.job, "a task succeeded on ${placement.machine.id}")
     }
 
@@ -96,7 +96,7 @@
         // Failures on a faulty machine are no evidence against the jobs.
         for (job in failedJobs) {
             val wasSuspected = job.isSuspected
-            job.failedMachines.remove(machine.index.value)
+            job.failedMachines.remove(machine.index)
             if (wasSuspected && !job.isSuspected) {
                 job.failedRetries = 0
                 job.backoffUntil = 0.0
--- a/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
+++ b/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
@@ -74,7 +74,7 @@
     fun isEligible(job: Job, machine: Machine, zones: ZoneConstraint): Boolean = Placer.isAllowed(job.spec, machine) &&
         zones.allows(machine) &&
         machine.freeHeartbeatBytes >= job.heartbeatBytesPerTask &&
-        machine.index.value !in job.failedMachines &&
+        !job.failedMachines.isAvoided(machine.index, ctx.now) &&
         !(job.bestEffort && wouldDelayScaleIn(job, machine))
 
     /**
--- a/src/main/kotlin/plankwall/core/state/Job.kt
+++ b/src/main/kotlin/plankwall/core/state/Job.kt
@@ -162,8 +162,8 @@
     /** The time at which the oldest change that is not written yet was made, in seconds of the monotonic clock. */
     var dirtySince = 0.0
 
-    /** The indices of the machines on which a task of it failed, except those known to be faulty themselves. */
-    val failedMachines = HashSet<Int>()
+    /** The machines on which a task of it failed, except those known to be faulty themselves. */
+    val failedMachines = MachineFailures()
 
     /**
      * Whether a task of it finished, or ran for long where others failed at once. Failures from then on are not
--- a/src/test/kotlin/plankwall/core/heartbeat/FaultAttributionTest.kt
+++ b/src/test/kotlin/plankwall/core/heartbeat/FaultAttributionTest.kt
@@ -1,6 +1,8 @@
 package plankwall.core.heartbeat
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import plankwall.core.state.Job
@@ -80,6 +82,25 @@
         assertEquals(retryDelayS, job.backoffUntil - core.ctx.now, 0.01)
     }
 
+    /** Guards against a job that never again uses a machine that was faulty for some seconds. */
+    @ParameterizedTest(name = "after {0} failures on one machine it is avoided for {1} to {2} s")
+    @CsvSource("1, 12, 18", "2, 24, 36", "3, 40, 60", "40, 40, 60")
+    fun `a job is tried again on a machine where it failed, after a bounded backoff`(
+        failures: Int,
+        fromS: Double,
+        untilS: Double,
+    ) {
+        val job = findOrLearn(1)
+        val machine = core.machine("A")
+        repeat(failures) {
+            val placement = core.schedulerState.place(job, job.waiting.first(), machine, it + 1L)
+            faultAttribution.onTaskFailed(placement)
+            core.schedulerState.release(placement, "ended")
+        }
+        assertTrue(job.failedMachines.isAvoided(machine.index, core.ctx.now + fromS - 0.01))
+        assertFalse(job.failedMachines.isAvoided(machine.index, core.ctx.now + untilS + 0.01))
+    }
+
     @ParameterizedTest(name = "a task ran for {0} s, others failed at once: job suspected {1}")
     @CsvSource("3, true", "7, false")
     fun `a task that keeps running for a while clears its job like one that succeeds`(
