--- a/src/main/kotlin/plankwall/wire/HeartbeatSize.kt
+++ b/src/main/kotlin/plankwall/wire/HeartbeatSize.kt
@@ -3,9 +3,9 @@
 import com.google.common.base.Utf8
 
 /**
- * Upper bounds of the bytes that a worker's heartbeat takes. A heartbeat is a request body, which has a maximum size: no
- * controller reads a longer one, so the worker would lose its lease with all its tasks. The bounds hold for any stage,
- * exit cause and attempt, and for workers that write a space after each separator.
+ * Upper bounds of the bytes that a worker's heartbeat takes. A heartbeat is a request body, which has a maximum size:
+ * no controller reads a longer one, so the worker would lose its lease with all its tasks. The bounds hold for any
+ * stage, exit cause and attempt, and for workers that write a space after each separator.
  */
 object HeartbeatSize {
     /** The maximum size of the body of a request, in bytes. */
