--- a/src/main/kotlin/plankwall/core/heartbeat/HeartbeatHandler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/HeartbeatHandler.kt
@@ -86,6 +86,7 @@
         machine.statusSeq = if (isNewSession) heartbeat.seq else maxOf(machine.statusSeq, heartbeat.seq)
         machine.session = heartbeat.session
         machine.heartbeatSeq = heartbeat.seq
+        machine.previousHeartbeatAt = machine.lastHeartbeatAt
         machine.lastHeartbeatAt = ctx.now
         machine.lastAnsweredAt = ctx.now
     }
--- a/src/main/kotlin/plankwall/core/state/Machine.kt
+++ b/src/main/kotlin/plankwall/core/state/Machine.kt
@@ -62,6 +62,9 @@
     /** The time at which the last heartbeat arrived that was not out of date. */
     var lastHeartbeatAt = NEVER
 
+    /** The time at which the heartbeat before the last one arrived. */
+    var previousHeartbeatAt = NEVER
+
     /**
      * The time at which the last heartbeat arrived that this leader answered or may have answered; the worker's lease
      * starts then at the latest.
@@ -108,8 +111,8 @@
     val placements = LinkedHashMap<Long, Placement>()
 
     /**
-     * The most bytes that the exited tasks of the last status take in the worker's heartbeats. Heartbeats repeat an exit
-     * until the worker is ordered to forget it, which happens only once the end of the task is stored.
+     * The most bytes that the exited tasks of the last status take in the worker's heartbeats. Heartbeats repeat an
+     * exit until the worker is ordered to forget it, which happens only once the end of the task is stored.
      */
     var exitBytes = 0
 
@@ -117,8 +120,8 @@
     private var placementBytes = 0
 
     /**
-     * The bytes left in the worker's heartbeat for the entries of further tasks; negative if it may be too long already.
-     * Hundreds of small tasks, along with as many exits, come close to what [HeartbeatSize] allows.
+     * The bytes left in the worker's heartbeat for the entries of further tasks; negative if it may be too long
+     * already. Hundreds of small tasks, along with as many exits, come close to what [HeartbeatSize] allows.
      */
     val freeHeartbeatBytes: Int get() = HeartbeatSize.MAX_TASKS_BYTES - placementBytes - exitBytes
 
@@ -138,6 +141,12 @@
     /** The indices of the jobs of which a task failed on this machine since a task last succeeded on it. */
     val failedJobs = HashSet<Int>()
 
+    /**
+     * The time from which on the last failed task on this machine can have started. A task that started later and runs
+     * well shows that the machine starts tasks.
+     */
+    var lastFailedStartAt = NEVER
+
     /** Whether failures of tasks on this machine are attributed to the machine, which then gets no more tasks. */
     var faulty = false
 
--- a/src/test/kotlin/plankwall/core/heartbeat/FaultAttributionTest.kt
+++ b/src/test/kotlin/plankwall/core/heartbeat/FaultAttributionTest.kt
@@ -82,6 +82,45 @@
         assertEquals(retryDelayS, job.backoffUntil - core.ctx.now, 0.01)
     }
 
+    /**
+     * Guards against a sound machine that two mistaken jobs condemn: it was deleted with six tasks that had started with
+     * theirs and ran well.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // name, when the other task began to run, relative to the failures, how long it has run (0: still fetching),
+        // whether it fails as well, whether the machine is faulty in the end
+        "'a task that started with those that failed and runs on clears the machine', 0, 10, false, false",
+        "'a task that has only just started leaves the machine in doubt', 0, 3, false, false",
+        "'a task that still fetches its image leaves the machine in doubt', 0, 0, false, false",
+        "'a task that started before those that failed proves nothing', -20, 30, false, true",
+        "'a machine where all that started together fails is faulty', 0, 3, true, true",
+    )
+    fun `a machine is not faulty while other tasks that it started run well`(
+        name: String,
+        startedAfterS: Double,
+        ranS: Double,
+        fails: Boolean,
+        faulty: Boolean,
+    ) {
+        val machine = core.machine("A").apply {
+            previousHeartbeatAt = core.ctx.now - 1.0
+            lastHeartbeatAt = core.ctx.now
+        }
+        val failing = listOf(1, 2).map { core.schedulerState.place(findOrLearn(it), 0, machine, 1) }
+        val other = core.schedulerState.place(findOrLearn(3), 0, machine, 1)
+        if (startedAfterS < 0.0) other.runningSince = core.ctx.now + startedAfterS
+        for (placement in failing) {
+            faultAttribution.onTaskFailed(placement)
+            core.schedulerState.release(placement, "ended")
+        }
+        if (ranS > 0.0 && other.runningSince == 0.0) other.runningSince = core.ctx.now
+        core.ctx.time.advance(core.ctx.now + ranS, 0)
+        if (fails) faultAttribution.onTaskFailed(other) else faultAttribution.onTaskRunning(other)
+        assertEquals(faulty, machine.faulty, name)
+        assertEquals(ranS >= 10.0 && !faulty, machine.failedJobs.isEmpty(), "evidence against the machine is dropped")
+    }
+
     /** Guards against a job that never again uses a machine that was faulty for some seconds. */
     @ParameterizedTest(name = "after {0} failures on one machine it is avoided for {1} to {2} s")
     @CsvSource("1, 12, 18", "2, 24, 36", "3, 40, 60", "40, 40, 60")
