Answer a repeated submission with the job's progress, as polls are

Callers saw: a job had been running for seconds, polls said `running`, and a repeated submission of it got 200 with `pending`. The protocol asks for the job's current state, which may lag by 3 s.

Cause: the answer for a live job stated `pending` unless it was cancelled.

Evidence: RequestCombinationsTest, two cases in virtual time; both failed before. Why it works: both answers are built by JobViews.ofLive.

--- a/src/main/kotlin/plankwall/core/api/JobViews.kt
+++ b/src/main/kotlin/plankwall/core/api/JobViews.kt
@@ -16,7 +16,7 @@
     private val cancellations: Cancellations,
     private val progressOf: (job: String) -> JobProgress?,
 ) {
-    /** Returns the view of a job that has just been accepted, or of whose state nothing more is known. */
+    /** Returns the view of a job that has just been accepted. */
     fun ofPending(id: String) = JobView(id, JobStage.PENDING, 0, 0)
 
     /** Returns the view of a live job that is not cancelled: its progress and the dependencies that it waits for. */
@@ -38,7 +38,4 @@
         cancellations.recordCancelled(id)
         return JobView(id, JobStage.CANCELLED, 0, 0)
     }
-
-    /** Returns the view of a live job without its progress: cancelled or pending. */
-    fun ofAccepted(id: String, isCancelled: Boolean): JobView = if (isCancelled) ofCancelled(id) else ofPending(id)
 }
--- a/src/main/kotlin/plankwall/core/api/ResubmissionResponder.kt
+++ b/src/main/kotlin/plankwall/core/api/ResubmissionResponder.kt
@@ -29,13 +29,14 @@
         val authorizedAction = pending.authorize(Action.RESUBMIT, id, found.facts) ?: return
         val isCancelled = found.record.cancelledMs > 0
         if (isCancelled || found.record.spec.dependencies.isEmpty()) {
-            pending.recordAndAnswer(authorizedAction, 200, views.ofAccepted(id, isCancelled))
+            val view = if (isCancelled) views.ofCancelled(id) else views.ofLive(id)
+            pending.recordAndAnswer(authorizedAction, 200, view)
             return
         }
         stateResolver.resolve(pending, id) { state ->
             when (state) {
                 JobState.Absent -> pending.rejectUnreadable()
-                JobState.Active -> pending.recordAndAnswer(authorizedAction, 200, views.ofPending(id))
+                JobState.Active -> pending.recordAndAnswer(authorizedAction, 200, views.ofLive(id))
                 JobState.Cancelled -> pending.recordAndAnswer(authorizedAction, 200, views.ofCancelled(id))
                 is JobState.Ended -> answerEnded(pending, id, state.record)
             }
--- a/src/test/kotlin/plankwall/simulation/faults/RequestCombinationsTest.kt
+++ b/src/test/kotlin/plankwall/simulation/faults/RequestCombinationsTest.kt
@@ -5,13 +5,37 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
+import plankwall.core.statemachine.Input
 import plankwall.fixtures.FaultCombinationFixture
 import plankwall.model.Priority
 import plankwall.simulation.LinkCut
 import plankwall.simulation.SimulatedCluster
+import plankwall.simulation.SimulatedWorker
 
 /** Tests of users' requests that are repeated, invalid or many, combined with other faults. */
 class RequestCombinationsTest : FaultCombinationFixture() {
+    /** Guards against a repeated submission that is told `pending` while polls say that the job runs. */
+    @ParameterizedTest(name = "the job depends on another one: {0}")
+    @ValueSource(booleans = [false, true])
+    fun `a repeated submission is told that the job runs as polls are`(hasDependency: Boolean) {
+        cluster = SimulatedCluster(11)
+        val earlier = SimulatedCluster.job(1, tasks = 1, runS = 5.0)
+        val spec = SimulatedCluster.job(2, runS = 120.0, after = if (hasDependency) listOf(1) else emptyList())
+        after(1.0) { listOf(earlier, spec).forEach(cluster::submit) }
+        cluster.clock.runUntil(60.0)
+        val polled = HashMap<String, String>()
+        val repeated = HashMap<String, String>()
+        for (node in cluster.nodes) {
+            node.sendRequest({ Input.Show(it, spec.id) }) { _, body -> polled[node.name] = stageIn(body) }
+            node.sendRequest({ Input.Submit(it, spec) }) { _, body -> repeated[node.name] = stageIn(body) }
+        }
+        cluster.clock.runUntil(62.0)
+        assertEquals(cluster.nodeNames.associateWith { "running" }, polled)
+        assertEquals(polled, repeated)
+    }
+
+    private fun stageIn(body: ByteArray): String = SimulatedWorker.json.readTree(body).get("stage").asText()
+
     @ParameterizedTest
     @ValueSource(
         strings = [
