--- a/src/main/kotlin/plankwall/core/autoscaling/CapacityBin.kt
+++ b/src/main/kotlin/plankwall/core/autoscaling/CapacityBin.kt
@@ -59,7 +59,7 @@
         // several others to end could then wait for such capacity for ever. So a job that has waited for a while is
         // packed only into capacity that is free now.
         if (ctx.time.wallMs - job.readyMs > newMachineStartS * 1000 * MAX_WAIT_PART) return currentlyFree
-        val limitS = newMachineStartS - machine.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
+        val limitS = newMachineStartS - machine.imageCache.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
         var expectedFree = currentlyFree
         for (end in taskEnds) if (end.endsInS < limitS) expectedFree += end.freed
         return expectedFree
--- a/src/main/kotlin/plankwall/core/autoscaling/UnneededMachines.kt
+++ b/src/main/kotlin/plankwall/core/autoscaling/UnneededMachines.kt
@@ -94,7 +94,7 @@
      */
     private fun replacementTimeS(machine: Machine, neededImages: Set<Int>): Double {
         val type = machine.type ?: return DEFAULT_BOOT_S
-        val imageGb = machine.images.filterKeys { it in neededImages }.values.maxOfOrNull { it.gb } ?: 0.0
+        val imageGb = machine.imageCache.images.filterKeys { it in neededImages }.values.maxOfOrNull { it.gb } ?: 0.0
         return type.bootS + type.fetchS(imageGb)
     }
 
--- a/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/TaskReconciler.kt
@@ -120,7 +120,7 @@
             log.debug("task stage changed task={} machine={} stage={}", placement.id, machine.id, stage)
             if (stage == TaskStage.RUNNING) placement.runningSince = ctx.now
             if (stage == TaskStage.RUNNING || stage == TaskStage.WAITING) {
-                machine.recordImage(ImageIndex(placement.job.image.value), placement.job.spec.imageGb, ctx.now)
+                machine.imageCache.record(ImageIndex(placement.job.image.value), placement.job.spec.imageGb, ctx.now)
             }
         }
         placement.stage = stage
--- a/src/main/kotlin/plankwall/core/placement/CachedImageCapacity.kt
+++ b/src/main/kotlin/plankwall/core/placement/CachedImageCapacity.kt
@@ -39,7 +39,7 @@
      */
     fun promiseSoonerMachine(job: Job, otherMachine: Machine, machines: List<Machine>, zones: ZoneConstraint): Boolean {
         if (job.spec.shape == Shape.SERVICE) return false
-        val limitS = otherMachine.fetchWaitS(job.image, job.spec.imageGb, ctx.now) * MAX_WAIT_PER_FETCH_TIME
+        val limitS = otherMachine.imageCache.fetchWaitS(job.image, job.spec.imageGb, ctx.now) * MAX_WAIT_PER_FETCH_TIME
         val waitedS = (ctx.time.wallMs - job.readyMs) / 1000.0
         if (limitS < MIN_WAIT_LIMIT_S || waitedS >= limitS) return false
         val soonest = findSoonestFree(job, machines, zones, limitS - waitedS) ?: return false
@@ -56,7 +56,7 @@
         var soonest: Machine? = null
         var soonestS = limitS
         for (machine in machines) {
-            val cached = machine.images[job.image.value] ?: continue
+            val cached = machine.imageCache.images[job.image.value] ?: continue
             if (cached.readyAt > ctx.now || machine in promisedMachines || machine.surplus) continue
             if (!capacity.isEligible(job, machine, zones)) continue
             val freeInS = capacity.secondsUntilFree(job, machine) ?: continue
--- a/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
+++ b/src/main/kotlin/plankwall/core/placement/FreeCapacity.kt
@@ -138,9 +138,9 @@
         val remaining = machine.free - job.spec.need
         val idleShare = shareOf(remaining.gpus, type.capacity.gpus) + shareOf(remaining.cpus, type.capacity.cpus)
         val spotPreferenceS = if (job.spec.spot && machine.group?.spot == false) SPOT_PREFERENCE_S else 0.0
-        val fetchWaitS = machine.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
+        val fetchWaitS = machine.imageCache.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
         val surplusS = if (machine.surplus) surplusPenaltyS(job, type) else 0.0
-        return fetchWaitS + machine.fetchDelayS(job.image, job.spec.imageGb, ctx.now) +
+        return fetchWaitS + machine.imageCache.fetchDelayS(job.image, job.spec.imageGb, ctx.now) +
             idleShare * TIGHT_FIT_WEIGHT_S + spotPreferenceS + surplusS + replicaMixPenaltyS(job, machine)
     }
 
--- a/src/main/kotlin/plankwall/core/placement/GangPlacer.kt
+++ b/src/main/kotlin/plankwall/core/placement/GangPlacer.kt
@@ -91,7 +91,7 @@
             val count = capacity.countFitting(job, machine)
             if (count <= 0) continue
             val score = capacity.score(job, machine)
-            val fetchWaitS = machine.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
+            val fetchWaitS = machine.imageCache.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
             repeat(minOf(count, job.waiting.size)) { slots.add(Slot(machine, score, fetchWaitS)) }
         }
         return slots.sortedBy { it.score }
@@ -167,7 +167,7 @@
         if (!capacity.isEligible(job, machine, zones) || !job.spec.need.fitsIn(type.capacity)) return null
         if (machine.heldCapacity !== Resources.NONE || machine.reservations.isNotEmpty()) return null
         val capacityFreeInS = capacity.secondsUntilFree(job, machine) ?: return null
-        val canStartInS = capacityFreeInS + machine.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
+        val canStartInS = capacityFreeInS + machine.imageCache.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
         return if (canStartInS < maxWaitS(job, type, zone)) VacatingMachine(machine, canStartInS) else null
     }
 
--- a/src/main/kotlin/plankwall/core/placement/Placer.kt
+++ b/src/main/kotlin/plankwall/core/placement/Placer.kt
@@ -95,16 +95,11 @@
         val jobsWithTasksLeft = ArrayList<Job>()
         for (job in pending) {
             if (pass.hasPlacementsLeft) {
-                val placed =
-                    if (job.isGangOfSeveral) {
-                        gangPlacer.place(
-                            job,
-                            pass.withCapacity,
-                            pass.usable,
-                        )
-                    } else {
-                        placeTasks(job, pass)
-                    }
+                val placed = if (job.isGangOfSeveral) {
+                    gangPlacer.place(job, pass.withCapacity, pass.usable)
+                } else {
+                    placeTasks(job, pass)
+                }
                 pass.placementsLeft -= placed
                 pendingQueue.onPlaced(job, placed)
             }
--- a/src/main/kotlin/plankwall/core/placement/Preemptor.kt
+++ b/src/main/kotlin/plankwall/core/placement/Preemptor.kt
@@ -145,7 +145,7 @@
         var lowestCostS = Double.MAX_VALUE
         for (machine in machines) {
             if (machine in chosen || machine.placements.isEmpty() || !capacity.isEligible(job, machine, zones)) continue
-            val fetchWaitS = machine.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
+            val fetchWaitS = machine.imageCache.fetchWaitS(job.image, job.spec.imageGb, ctx.now)
             if (fetchWaitS >= lowestCostS) continue
             val victims = selectVictims(machine, job) ?: continue
             val costS = victims.sumOf { lostWorkS(it) } + fetchWaitS
--- a/src/main/kotlin/plankwall/core/queue/TaskOccupancy.kt
+++ b/src/main/kotlin/plankwall/core/queue/TaskOccupancy.kt
@@ -22,7 +22,7 @@
         for (machine in fleet.machines) {
             if (machine.isBeingScaledIn) continue
             fleetSize++
-            machine.images.keys.forEach { machineCountByImage.merge(it, 1, Int::plus) }
+            machine.imageCache.images.keys.forEach { machineCountByImage.merge(it, 1, Int::plus) }
         }
     }
 
--- a/src/main/kotlin/plankwall/core/state/Machine.kt
+++ b/src/main/kotlin/plankwall/core/state/Machine.kt
@@ -1,7 +1,6 @@
 package plankwall.core.state
 
 import plankwall.model.GroupKey
-import plankwall.model.ImageIndex
 import plankwall.model.MachineIndex
 import plankwall.model.MachineType
 import plankwall.model.Resources
@@ -33,6 +32,7 @@
         set(value) {
             field = value
             free = capacity - used
+            imageCache.type = value
         }
 
     /** The address of the machine's worker, from its heartbeats or the cloud's list; empty if unknown. */
@@ -129,14 +129,8 @@
     var used = Resources.NONE
         private set
 
-    /**
-     * The images expected in the machine's cache by [ImageIndex], the least recently used first. Reading an entry does
-     * not count as use.
-     */
-    val images = LinkedHashMap<Int, CachedImage>()
-
-    /** The time at which the image fetches in progress should be finished. */
-    var fetchBusyUntil = 0.0
+    /** The images on the machine and the fetches in progress. */
+    val imageCache = ImageCache()
 
     /** The indices of the jobs of which a task failed on this machine since a task last succeeded on it. */
     val failedJobs = HashSet<Int>()
@@ -213,9 +207,6 @@
      */
     class Reservation(val job: Job, val until: Double)
 
-    /** An image of [gb] gigabytes that should be in the cache from [readyAt] on. */
-    class CachedImage(val gb: Double, val readyAt: Double)
-
     /** Whether a heartbeat of it has reached this leader. */
     val isRegistered: Boolean get() = registeredAt > NEVER
 
@@ -261,53 +252,6 @@
 
     private fun keyOf(job: Job, task: Int) = (job.index.value.toLong() shl TASK_BITS) or task.toLong()
 
-    /** Returns the seconds until [image] would be on the machine if a task that needs it were placed now. */
-    fun fetchWaitS(image: ImageIndex, gb: Double, now: Double): Double {
-        val cached = images[image.value]
-        if (cached != null) return (cached.readyAt - now).coerceAtLeast(0.0)
-        return (fetchBusyUntil - now).coerceAtLeast(0.0) + fetchS(gb)
-    }
-
-    /**
-     * Returns the seconds by which fetching [image] as well would delay, on average, the tasks here that wait for other
-     * images.
-     */
-    fun fetchDelayS(image: ImageIndex, gb: Double, now: Double): Double {
-        if (images[image.value] != null) return 0.0
-        return minOf((fetchBusyUntil - now).coerceAtLeast(0.0), fetchS(gb)) * 0.5
-    }
-
-    /** Returns the seconds to fetch [gb] gigabytes, at one gigabyte per second while the machine type is unknown. */
-    private fun fetchS(gb: Double): Double = type?.fetchS(gb) ?: gb
-
-    /**
-     * Records that a task that needs [image] was placed on this machine, so that the worker will fetch it unless it is
-     * cached.
-     */
-    fun scheduleFetch(image: ImageIndex, gb: Double, now: Double) {
-        val cached = images[image.value]
-        if (cached == null) fetchBusyUntil = now + fetchWaitS(image, gb, now)
-        recordImage(image, gb, cached?.readyAt ?: fetchBusyUntil)
-    }
-
-    /**
-     * Records that [image] is in use and should be cached at [readyAt]. The least recently used images are evicted if
-     * the cache cannot hold them all.
-     */
-    fun recordImage(image: ImageIndex, gb: Double, readyAt: Double) {
-        images.remove(image.value)
-        images[image.value] = CachedImage(gb, readyAt)
-        var totalGb = images.values.sumOf { it.gb }
-        val cacheGb = type?.cacheGb ?: return
-        val leastRecentlyUsed = images.entries.iterator()
-        while (totalGb > cacheGb && leastRecentlyUsed.hasNext()) {
-            val entry = leastRecentlyUsed.next()
-            if (entry.key == image.value) continue
-            totalGb -= entry.value.gb
-            leastRecentlyUsed.remove()
-        }
-    }
-
     companion object {
         /** A time before any time of the monotonic clock, for what has not happened. */
         const val NEVER = -1e12
--- a/src/main/kotlin/plankwall/core/state/SchedulerState.kt
+++ b/src/main/kotlin/plankwall/core/state/SchedulerState.kt
@@ -143,7 +143,7 @@
         placement.plannedAt = ctx.now
         job.waiting.remove(task)
         attach(placement)
-        machine.scheduleFetch(job.image, job.spec.imageGb, ctx.now)
+        machine.imageCache.scheduleFetch(job.image, job.spec.imageGb, ctx.now)
         job.pageOf(task).dirty = true
         job.urgent = true
         writer.markDirty(job)
--- a/src/test/kotlin/plankwall/core/placement/CachedImageCapacityTest.kt
+++ b/src/test/kotlin/plankwall/core/placement/CachedImageCapacityTest.kt
@@ -41,7 +41,11 @@
         val cachingMachine = core.machine("i-1")
         core.schedulerState.place(learn(1, Shape.ARRAY, 4, imageGb), 0, cachingMachine, 1).runningSince =
             ctx.now - 60.0 + endsInS
-        cachingMachine.recordImage(checkNotNull(core.schedulerState.find("job-000001")).image, imageGb, ctx.now - 1)
+        cachingMachine.imageCache.record(
+            checkNotNull(core.schedulerState.find("job-000001")).image,
+            imageGb,
+            ctx.now - 1,
+        )
         val coldMachine = core.machine("i-2")
         val job = learn(2, shape, 2, imageGb, waitedS)
         assertEquals(
--- a/src/test/kotlin/plankwall/core/placement/CandidateQueueTest.kt
+++ b/src/test/kotlin/plankwall/core/placement/CandidateQueueTest.kt
@@ -29,7 +29,7 @@
                     GroupKey("box", if (random.nextInt(3) == 0) "a" else "b", false),
                     "addr:$index",
                 )
-                if (random.nextInt(4) == 0) machine.recordImage(plankwall.model.ImageIndex(1), 2.0, core.ctx.now)
+                if (random.nextInt(4) == 0) machine.imageCache.record(plankwall.model.ImageIndex(1), 2.0, core.ctx.now)
             }
         }
         val running = core.learn(SimulatedCluster.job(1, tasks = 60))
