Size a heartbeat's tasks only for an answer that may start some

OrderPlanner summed the sizes of all reported tasks for each heartbeat, also where no start is due. Machine.endHold needs no test before it assigns, and a test's job fits on two lines.

--- a/src/main/kotlin/plankwall/core/heartbeat/OrderPlanner.kt
+++ b/src/main/kotlin/plankwall/core/heartbeat/OrderPlanner.kt
@@ -24,14 +24,15 @@
      * worker holds is not known before its first heartbeat, and it may keep exits of which this leader knows nothing.
      */
     fun ordersForAnswer(machine: Machine, reportedTasks: List<TaskStatus>): List<Order> {
-        var freeBytes = HeartbeatSize.MAX_TASKS_BYTES - HeartbeatSize.maxTaskBytes(reportedTasks)
+        val freeBytes by lazy { HeartbeatSize.MAX_TASKS_BYTES - HeartbeatSize.maxTaskBytes(reportedTasks) }
+        var startBytes = 0
         return machine.placements.values.mapNotNull { placement ->
             when {
                 placement.hasExited -> null
                 placement.stopping != null -> if (placement.isCommanded) stopOrderFor(placement) else null
                 mayStart(machine, placement) -> {
-                    freeBytes -= placement.job.heartbeatBytesPerTask
-                    if (freeBytes >= 0) startOrderFor(placement) else null
+                    startBytes += placement.job.heartbeatBytesPerTask
+                    if (startBytes <= freeBytes) startOrderFor(placement) else null
                 }
                 else -> null
             }
--- a/src/main/kotlin/plankwall/core/state/Machine.kt
+++ b/src/main/kotlin/plankwall/core/state/Machine.kt
@@ -198,7 +198,7 @@
 
     /** Ends what was held for gangs. */
     fun endHold() {
-        if (heldCapacity !== Resources.NONE) heldCapacity = Resources.NONE
+        heldCapacity = Resources.NONE
         heldHeartbeatBytes = 0
     }
 
--- a/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
+++ b/src/test/kotlin/plankwall/core/placement/HeartbeatLimitTest.kt
@@ -155,14 +155,8 @@
     fun `stops of hundreds of tasks with long ids are sent in several commands that each can be read`() {
         val machine = core.machine("i-000001")
         handler.onHeartbeat(heartbeat(machine.id))
-        val job = core.learn(
-            SimulatedCluster.job(1, tasks = 2000).copy(
-                id = jobId(1, 18),
-                checkpointS = 1.0,
-                saveS =
-                0.1 + 0.2,
-            ),
-        )
+        val spec = SimulatedCluster.job(1, tasks = 2000)
+        val job = core.learn(spec.copy(id = jobId(1, 18), checkpointS = 1.0, saveS = 0.1 + 0.2))
         val placements = List(900) { core.schedulerState.place(job, 99_000 + it, machine, LONG_ATTEMPT + it) }
         placements.forEach { it.isCommanded = true }
         placements.forEach { core.schedulerState.stopWithCheckpoint(it, StopCause.DRAINED) }
